--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/ApplyCommand.java
@@ -0,0 +1,47 @@
+package org.parsleycart.command;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import org.parsleycart.link.http.HttpCall;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Applies a configuration file. */
+@Command(
+    name = "apply",
+    description = "Applies a configuration file, as a whole or not at all.",
+    mixinStandardHelpOptions = true)
+final class ApplyCommand extends DaemonCommand {
+
+  @Parameters(paramLabel = "FILE", description = "The YAML file.")
+  private Path file;
+
+  @Option(names = "--wait", description = "Wait until it is in force everywhere, at most so long.")
+  private Optional<Duration> wait = Optional.empty();
+
+  @Option(
+      names = "--based-on",
+      paramLabel = "VERSION",
+      description = "Refuse when another change of the same resources came after this version.")
+  private Optional<Long> basedOn = Optional.empty();
+
+  @Override
+  Either<CommandError, ExitCode> run(DaemonClient client) {
+    return InputFile.read(file)
+        .flatMap(text -> InputFile.parseChange(file, text).map(change -> text))
+        .flatMap(text -> client.ask(HttpCall.of("POST", path()).body(text)))
+        .flatMap(
+            accepted ->
+                wait.isPresent()
+                    ? awaitInForce(client, accepted, wait.get())
+                    : Either.right(print(accepted)));
+  }
+
+  private String path() {
+    String base = basedOn.map(version -> "&basedOn=" + version).orElse("");
+    return "/changes" + changeQuery() + base + "&source=" + encode(file.toString());
+  }
+}
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/CommandMain.java
@@ -0,0 +1,71 @@
+package org.parsleycart.command;
+
+import java.time.Duration;
+import java.util.List;
+import org.parsleycart.link.LibraryLogs;
+import org.parsleycart.model.document.Durations;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.TypeConversionException;
+
+/** The command {@code parsleycart}. */
+@Command(
+    name = "parsleycart",
+    description = "Creates configurations, rollouts and availability zone withdrawals.",
+    mixinStandardHelpOptions = true,
+    version = "parsleycart 0.1.0",
+    subcommands = {
+      ApplyCommand.class,
+      ValidateCommand.class,
+      GetCommand.class,
+      StatusCommand.class,
+      HistoryCommand.class,
+      ZoneCommands.Withdraw.class,
+      ZoneCommands.Return.class,
+      RolloutCommands.class,
+      WatchCommand.class
+    },
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {
+      "0:done",
+      "1:refused, or taken back",
+      "2:bad input",
+      "3:no daemon reachable, or the platform is silent",
+      "4:accepted, and not yet in force everywhere"
+    })
+public final class CommandMain {
+
+  // -- start
+
+  /** Runs the command and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    LibraryLogs.onlyWarnings();
+    System.exit(commandLine().execute(arguments));
+  }
+
+  /** Returns the command line, ready to execute. */
+  static CommandLine commandLine() {
+    return new CommandLine(new CommandMain())
+        .registerConverter(Duration.class, new DurationConverter())
+        .setCaseInsensitiveEnumValuesAllowed(true);
+  }
+
+  /** Reads durations in the form of the settings. */
+  private static final class DurationConverter implements ITypeConverter<Duration> {
+    @Override
+    public Duration convert(String text) {
+      return Durations.parse(text)
+          .orElseThrow(
+              () ->
+                  new TypeConversionException(
+                      "'" + text + "' is no duration such as 250ms, 7s or 10m"));
+    }
+  }
+
+  static void printError(CommandLine commandLine, CommandError error) {
+    commandLine.getErr().println("parsleycart: " + error.message());
+    List<String> details = error.details();
+    details.forEach(detail -> commandLine.getErr().println("  " + detail));
+  }
+}
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/DaemonClient.java
@@ -0,0 +1,91 @@
+package org.parsleycart.command;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.parsleycart.link.LinkError;
+import org.parsleycart.link.http.HttpAnswer;
+import org.parsleycart.link.http.HttpCall;
+import org.parsleycart.link.http.HttpClient;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.model.document.YamlDocuments;
+
+/**
+ * Sends requests to the first daemon that answers.
+ *
+ * <p>Requests that change something carry a change identifier, so that sending one again to the
+ * next daemon cannot change it twice.
+ */
+final class DaemonClient implements AutoCloseable {
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int UNPROCESSABLE = 422;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final HttpClient client;
+  private final List<String> daemons;
+  private final Duration timeout;
+
+  // -- construction
+
+  DaemonClient(List<String> daemons, Duration timeout) {
+    this.client = HttpClient.start(1);
+    this.daemons = List.copyOf(daemons);
+    this.timeout = requireNonNull(timeout, "timeout is null");
+  }
+
+  // -- operations
+
+  Either<CommandError, HttpAnswer> send(HttpCall call) {
+    List<String> failures = new ArrayList<>();
+    for (String daemon : daemons) {
+      Either<LinkError, HttpAnswer> answer = client.send(daemon, call, timeout);
+      if (answer.isRight() && answer.get().status() < FIRST_SERVER_ERROR) {
+        return toResult(answer.get());
+      }
+      failures.add(
+          answer.fold(
+              LinkError::message,
+              unwilling -> daemon + ": status " + unwilling.status() + " " + unwilling.text()));
+    }
+    return Either.left(new CommandError(ExitCode.UNREACHABLE, "no daemon could do this", failures));
+  }
+
+  Either<CommandError, Document> ask(HttpCall call) {
+    return send(call)
+        .flatMap(
+            answer ->
+                YamlDocuments.parse("answer", answer.text())
+                    .mapLeft(
+                        problems ->
+                            new CommandError(
+                                ExitCode.UNREACHABLE, "unreadable answer", List.of())));
+  }
+
+  private static Either<CommandError, HttpAnswer> toResult(HttpAnswer answer) {
+    if (answer.status() == OK) {
+      return Either.right(answer);
+    }
+    boolean badInput = answer.status() == BAD_REQUEST || answer.status() == UNPROCESSABLE;
+    ExitCode exitCode = badInput ? ExitCode.BAD_INPUT : ExitCode.REFUSED;
+    return YamlDocuments.parse("answer", answer.text())
+        .fold(
+            problems -> Either.left(new CommandError(exitCode, answer.text(), List.of())),
+            document -> Either.left(toError(exitCode, document)));
+  }
+
+  private static CommandError toError(ExitCode exitCode, Document document) {
+    MappingReader reader = MappingReader.of(document, new ArrayList<>());
+    return new CommandError(
+        exitCode, reader.text("error").orElse("refused"), reader.textItems("details"));
+  }
+
+  @Override
+  public void close() {
+    client.close();
+  }
+}
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/HistoryCommand.java
@@ -0,0 +1,17 @@
+package org.parsleycart.command;
+
+import io.vavr.control.Either;
+import org.parsleycart.link.http.HttpCall;
+import picocli.CommandLine.Command;
+
+/** Prints the recent changes. */
+@Command(
+    name = "history",
+    description = "Prints the recent changes that the daemon asked holds.",
+    mixinStandardHelpOptions = true)
+final class HistoryCommand extends DaemonCommand {
+  @Override
+  Either<CommandError, ExitCode> run(DaemonClient client) {
+    return askAndPrint(client, HttpCall.of("GET", "/history"));
+  }
+}
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/InputFile.java
@@ -0,0 +1,44 @@
+package org.parsleycart.command;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.Problem;
+import org.parsleycart.model.document.YamlDocuments;
+
+/** Reads the files that operators give. */
+final class InputFile {
+  private InputFile() {}
+
+  static Either<CommandError, String> read(Path file) {
+    try {
+      return Either.right(Files.readString(file));
+    } catch (IOException e) {
+      return Either.left(new CommandError(ExitCode.BAD_INPUT, file + " cannot be read", List.of()));
+    }
+  }
+
+  /** Checks the form of a configuration; rules that need the rest of it are left to a daemon. */
+  static Either<CommandError, ConfigurationChange> parseChange(Path file, String text) {
+    return parse(file, text)
+        .flatMap(
+            document ->
+                ConfigurationChange.from(document, "unnamed", "operator")
+                    .mapLeft(InputFile::toError));
+  }
+
+  static Either<CommandError, Document> parse(Path file, String text) {
+    return YamlDocuments.parse(file.toString(), text).mapLeft(InputFile::toError);
+  }
+
+  static CommandError toError(List<Problem> problems) {
+    return new CommandError(
+        ExitCode.BAD_INPUT,
+        problems.size() + " problems",
+        problems.stream().map(Problem::toString).toList());
+  }
+}
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/RolloutCommands.java
@@ -0,0 +1,100 @@
+package org.parsleycart.command;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import org.parsleycart.link.http.HttpCall;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.Durations;
+import org.parsleycart.model.document.JsonDocuments;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The commands on rollouts. */
+@Command(
+    name = "rollout",
+    description = "Starts, shows and aborts rollouts of new upstream versions.",
+    mixinStandardHelpOptions = true,
+    subcommands = {
+      RolloutCommands.Start.class,
+      RolloutCommands.Status.class,
+      RolloutCommands.Abort.class
+    })
+final class RolloutCommands {
+
+  /** Starts a rollout. */
+  @Command(
+      name = "start",
+      description = "Moves the traffic of one service to a new version step by step.",
+      mixinStandardHelpOptions = true)
+  static final class Start extends DaemonCommand {
+    @Parameters(paramLabel = "NAME", description = "The name of the rollout.")
+    private String name;
+
+    @Option(
+        names = "--services",
+        required = true,
+        split = ",",
+        paramLabel = "LABEL=VALUE",
+        description = "Labels that select exactly one service; its name is the label 'name'.")
+    private Map<String, String> services;
+
+    @Option(names = "--to", required = true, paramLabel = "VERSION", description = "New version.")
+    private String version;
+
+    @Option(
+        names = "--within",
+        defaultValue = "10m",
+        description = "Time until full share (default: ${DEFAULT-VALUE}).")
+    private Duration within;
+
+    @Override
+    Either<CommandError, ExitCode> run(DaemonClient client) {
+      Document.Mapping rollout =
+          Document.mapping()
+              .with("name", name)
+              .withTexts("services", services)
+              .with("version", version)
+              .with("completeWithin", Durations.format(within))
+              .build();
+      return askAndPrint(
+          client,
+          HttpCall.of("POST", "/rollouts" + changeQuery()).body(JsonDocuments.format(rollout)));
+    }
+  }
+
+  /** Shows a rollout. */
+  @Command(
+      name = "status",
+      description = "Prints a rollout, its share, phase and reason.",
+      mixinStandardHelpOptions = true)
+  static final class Status extends DaemonCommand {
+    @Parameters(paramLabel = "NAME", description = "The name of the rollout.")
+    private String name;
+
+    @Override
+    Either<CommandError, ExitCode> run(DaemonClient client) {
+      return client
+          .ask(HttpCall.of("GET", "/rollouts/" + encode(name)))
+          .peek(this::print)
+          .map(RolloutOutcome::exitCode);
+    }
+  }
+
+  /** Aborts a rollout. */
+  @Command(
+      name = "abort",
+      description = "Ends a rollout; the old version takes all traffic.",
+      mixinStandardHelpOptions = true)
+  static final class Abort extends DaemonCommand {
+    @Parameters(paramLabel = "NAME", description = "The name of the rollout.")
+    private String name;
+
+    @Override
+    Either<CommandError, ExitCode> run(DaemonClient client) {
+      return askAndPrint(
+          client, HttpCall.of("POST", "/rollouts/" + encode(name) + "/abort" + changeQuery()));
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/RolloutOutcome.java
@@ -0,0 +1,23 @@
+package org.parsleycart.command;
+
+import java.util.ArrayList;
+import org.parsleycart.model.RolloutPhase;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+
+/** The exit code that a rollout's phase stands for. */
+final class RolloutOutcome {
+  private RolloutOutcome() {}
+
+  static ExitCode exitCode(Document rollout) {
+    RolloutPhase phase =
+        MappingReader.of(rollout, new ArrayList<>())
+            .constant("phase", RolloutPhase.class)
+            .orElse(RolloutPhase.PROGRESSING);
+    return switch (phase) {
+      case DONE -> ExitCode.DONE;
+      case TAKEN_BACK, ABORTED -> ExitCode.REFUSED;
+      case PROGRESSING, SOAKING -> ExitCode.NOT_YET_IN_FORCE;
+    };
+  }
+}
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/StatusCommand.java
@@ -0,0 +1,20 @@
+package org.parsleycart.command;
+
+import io.vavr.control.Either;
+import org.parsleycart.link.http.HttpCall;
+import picocli.CommandLine.Command;
+
+/** Prints how the mesh is and where the configuration is in force. */
+@Command(
+    name = "status",
+    description = "Prints the daemon's view of the mesh and where its version is in force.",
+    mixinStandardHelpOptions = true)
+final class StatusCommand extends DaemonCommand {
+  @Override
+  Either<CommandError, ExitCode> run(DaemonClient client) {
+    return client
+        .ask(HttpCall.of("GET", "/status"))
+        .peek(this::print)
+        .flatMap(status -> askAndPrint(client, HttpCall.of("GET", "/in-force")));
+  }
+}
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/ZoneCommands.java
@@ -0,0 +1,64 @@
+package org.parsleycart.command;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import org.parsleycart.link.http.HttpCall;
+import org.parsleycart.model.document.Document;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The commands that take availability zones out of service and back. */
+final class ZoneCommands {
+  private ZoneCommands() {}
+
+  /** What both commands share. */
+  abstract static class ZoneCommand extends DaemonCommand {
+    @Parameters(paramLabel = "ZONE", description = "The name of the availability zone.")
+    private String zone;
+
+    @Option(
+        names = "--wait",
+        description = "Wait until it is in force everywhere, at most so long.")
+    private Optional<Duration> wait = Optional.empty();
+
+    final Either<CommandError, ExitCode> change(
+        DaemonClient client, String action, String options) {
+      String path = "/zones/" + encode(zone) + "/" + action + changeQuery() + options;
+      Either<CommandError, Document> accepted = client.ask(HttpCall.of("POST", path));
+      return accepted.flatMap(
+          document ->
+              wait.isPresent()
+                  ? awaitInForce(client, document, wait.get())
+                  : Either.right(print(document)));
+    }
+  }
+
+  /** Withdraws a zone. */
+  @Command(
+      name = "withdraw",
+      description = "Takes an availability zone out of service; it gets no new work.",
+      mixinStandardHelpOptions = true)
+  static final class Withdraw extends ZoneCommand {
+    @Option(names = "--force", description = "Withdraw even if the other zones cannot bear it.")
+    private boolean force;
+
+    @Override
+    Either<CommandError, ExitCode> run(DaemonClient client) {
+      return change(client, "withdraw", force ? "&force=true" : "");
+    }
+  }
+
+  /** Returns a zone. */
+  @Command(
+      name = "return",
+      description = "Takes an availability zone back into service; its upstreams start cold.",
+      mixinStandardHelpOptions = true)
+  static final class Return extends ZoneCommand {
+    @Override
+    Either<CommandError, ExitCode> run(DaemonClient client) {
+      return change(client, "return", "");
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
@@ -0,0 +1,149 @@
+package org.parsleycart.daemon;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Random;
+import org.parsleycart.daemon.control.ControlAnswers;
+import org.parsleycart.daemon.control.DurableFacts;
+import org.parsleycart.daemon.control.FirstPeers;
+import org.parsleycart.daemon.control.GossipDuty;
+import org.parsleycart.daemon.control.InForceSurvey;
+import org.parsleycart.daemon.control.PlatformDuty;
+import org.parsleycart.daemon.control.PullDuty;
+import org.parsleycart.daemon.report.CallEvidence;
+import org.parsleycart.daemon.settings.DaemonSettings;
+import org.parsleycart.decision.membership.GossipProtocol;
+import org.parsleycart.decision.membership.GossipSettings;
+import org.parsleycart.decision.membership.MemberRecord;
+import org.parsleycart.decision.membership.MemberStatus;
+import org.parsleycart.decision.membership.MembershipTable;
+import org.parsleycart.decision.routing.LoadBoard;
+import org.parsleycart.decision.spreading.PollSchedule;
+import org.parsleycart.decision.spreading.PullPlanner;
+import org.parsleycart.link.Addresses;
+import org.parsleycart.link.DatagramLink;
+import org.parsleycart.link.Envelope;
+import org.parsleycart.link.FrameClient;
+import org.parsleycart.link.LinkCounters;
+import org.parsleycart.link.PeerKeys;
+import org.parsleycart.link.http.HttpClient;
+import org.parsleycart.platform.ConfigurationStore;
+import org.parsleycart.platform.HttpPlatform;
+import org.parsleycart.platform.Platform;
+
+/**
+ * The parts of a daemon that exchange control messages.
+ *
+ * @param envelope signs and checks messages
+ * @param counters counts messages and bytes
+ * @param frames asks other daemons
+ * @param gossip the probing duty
+ * @param pulls the spreading duty
+ * @param store the accepted configuration on the platform
+ * @param platformDuty the platform duty
+ * @param survey finds out where a version is in force
+ * @param answers answers other daemons
+ */
+record ControlParts(
+    Envelope envelope,
+    LinkCounters counters,
+    FrameClient frames,
+    GossipDuty gossip,
+    PullDuty pulls,
+    ConfigurationStore store,
+    PlatformDuty platformDuty,
+    InForceSurvey survey,
+    ControlAnswers answers) {
+
+  // -- construction
+
+  static ControlParts create(
+      DaemonSettings settings,
+      PeerKeys keys,
+      MeshState state,
+      LoadBoard loads,
+      CallEvidence evidence,
+      InstantSource clock)
+      throws IOException {
+    Envelope envelope = new Envelope(keys);
+    LinkCounters counters = new LinkCounters();
+    FrameClient frames = new FrameClient(envelope, counters);
+    PullDuty pulls = new PullDuty(frames, state.log(), clock);
+    DatagramLink datagrams = DatagramLink.open(settings.addresses().control(), envelope, counters);
+    GossipDuty gossip = gossipDuty(settings, state, loads, clock, pulls, datagrams);
+    Platform platform = platform(settings);
+    ConfigurationStore store = new ConfigurationStore(platform, state.log(), clock);
+    PlatformDuty platformDuty =
+        new PlatformDuty(
+            state,
+            store,
+            gossip,
+            pulls,
+            new FirstPeers(platform.table(), settings.seeds(), new Random()),
+            new DurableFacts(state, store),
+            new PollSchedule(clock.instant(), new Random()),
+            clock,
+            new Random());
+    InForceSurvey survey = new InForceSurvey(state, frames);
+    ControlAnswers answers = new ControlAnswers(state, gossip, survey, evidence);
+    return new ControlParts(
+        envelope, counters, frames, gossip, pulls, store, platformDuty, survey, answers);
+  }
+
+  private static GossipDuty gossipDuty(
+      DaemonSettings settings,
+      MeshState state,
+      LoadBoard loads,
+      InstantSource clock,
+      PullDuty pulls,
+      DatagramLink datagrams) {
+    Random random = new Random();
+    PullPlanner planner = new PullPlanner(settings.identifier(), random);
+    GossipProtocol protocol =
+        new GossipProtocol(
+            new MembershipTable(selfRecord(settings, clock), clock.instant()),
+            GossipSettings.standard(),
+            clock,
+            random,
+            state.log()::head,
+            state.facts(),
+            planner);
+    return new GossipDuty(protocol, planner, datagrams, state, loads, clock, pulls);
+  }
+
+  private static MemberRecord selfRecord(DaemonSettings settings, InstantSource clock) {
+    return new MemberRecord(
+        settings.identifier(),
+        clock.millis(),
+        0,
+        MemberStatus.ALIVE,
+        settings.zone(),
+        Addresses.format(settings.callAddress()),
+        settings.labels(),
+        List.of());
+  }
+
+  private static Platform platform(DaemonSettings settings) {
+    Duration timeout = settings.platformTimeout();
+    return settings
+        .platform()
+        .map(address -> new HttpPlatform(HttpClient.start(1), address, timeout).toPlatform())
+        .orElseGet(Platform::embedded);
+  }
+
+  // -- duties
+
+  void start() {
+    pulls.start(gossip, platformDuty::peerHead);
+    gossip.start();
+    platformDuty.start();
+  }
+
+  void stop() {
+    platformDuty.stop();
+    gossip.stop();
+    pulls.stop();
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
@@ -0,0 +1,102 @@
+package org.parsleycart.daemon;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.parsleycart.daemon.settings.DaemonSettings;
+import org.parsleycart.link.LibraryLogs;
+import org.parsleycart.model.document.Problem;
+import org.tinylog.Logger;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The command {@code parsleycartd}: runs one daemon until it is asked to stop. */
+@Command(
+    name = "parsleycartd",
+    description = "Runs the parsleycart daemon beside an upstream VM.",
+    mixinStandardHelpOptions = true,
+    version = "parsleycartd 0.1.0",
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {
+      "0:stopped as asked, or settings without fault",
+      "1:could not start",
+      "2:bad arguments or settings"
+    })
+public final class DaemonMain implements Callable<Integer> {
+  private static final int DONE = 0;
+  private static final int NOT_STARTED = 1;
+  private static final int BAD_INPUT = 2;
+
+  @Option(
+      names = "--settings",
+      required = true,
+      paramLabel = "FILE",
+      description = "The YAML file of settings; docs/OPERATING.md lists them.")
+  private Path settingsFile;
+
+  @Option(names = "--check", description = "Check the settings and exit.")
+  private boolean checkOnly;
+
+  @Spec private CommandSpec spec;
+
+  // -- start
+
+  /** Runs the command and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    LibraryLogs.onlyWarnings();
+    System.exit(new CommandLine(new DaemonMain()).execute(arguments));
+  }
+
+  @Override
+  public Integer call() {
+    PrintWriter errors = spec.commandLine().getErr();
+    String text;
+    try {
+      text = Files.readString(settingsFile);
+    } catch (IOException e) {
+      errors.println(settingsFile + ": cannot be read: " + e.getMessage());
+      return BAD_INPUT;
+    }
+    Either<List<Problem>, DaemonSettings> settings =
+        DaemonSettings.parse(settingsFile.toString(), text);
+    if (settings.isLeft()) {
+      settings.getLeft().forEach(errors::println);
+      return BAD_INPUT;
+    }
+    return checkOnly ? DONE : run(settings.get(), errors);
+  }
+
+  private static int run(DaemonSettings settings, PrintWriter errors) {
+    Daemon daemon;
+    try {
+      daemon = Daemon.start(settings);
+    } catch (IOException | RuntimeException e) {
+      errors.println("could not start: " + e.getMessage());
+      Logger.debug(e);
+      return NOT_STARTED;
+    }
+    CountDownLatch closed = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  daemon.close();
+                  closed.countDown();
+                },
+                "stopping"));
+    try {
+      closed.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return DONE;
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -0,0 +1,154 @@
+package org.parsleycart.daemon;
+
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.util.concurrent.ThreadLocalRandom;
+import org.parsleycart.daemon.call.AdmissionHandler;
+import org.parsleycart.daemon.call.AdmissionService;
+import org.parsleycart.daemon.call.CallSignature;
+import org.parsleycart.daemon.call.CallsInProgress;
+import org.parsleycart.daemon.call.ConnectionPools;
+import org.parsleycart.daemon.call.EntryHandler;
+import org.parsleycart.daemon.call.EntryParts;
+import org.parsleycart.daemon.call.Forwarder;
+import org.parsleycart.daemon.call.LocalUpstreams;
+import org.parsleycart.daemon.control.UpkeepDuty;
+import org.parsleycart.daemon.control.ZoneCapacity;
+import org.parsleycart.daemon.operator.Acceptance;
+import org.parsleycart.daemon.operator.ConfigurationActions;
+import org.parsleycart.daemon.operator.OperatorHandler;
+import org.parsleycart.daemon.operator.RolloutActions;
+import org.parsleycart.daemon.operator.StatusActions;
+import org.parsleycart.daemon.operator.UpstreamActions;
+import org.parsleycart.daemon.report.DaemonMetrics;
+import org.parsleycart.daemon.settings.DaemonSettings;
+import org.parsleycart.decision.admission.AdmissionSettings;
+import org.parsleycart.decision.routing.LoadBoard;
+import org.parsleycart.decision.routing.RetryBudget;
+import org.parsleycart.decision.routing.RetryPolicy;
+import org.parsleycart.decision.routing.UpstreamSelection;
+import org.parsleycart.decision.spreading.ConfigurationLog;
+import org.parsleycart.decision.spreading.UrgentFacts;
+import org.parsleycart.link.PeerKeys;
+
+/**
+ * The parts of one daemon, each constructed with all that it needs.
+ *
+ * @param state what calls read
+ * @param clock the time
+ * @param reports what the daemon tells of itself
+ * @param control the parts that exchange control messages
+ * @param upstreams the upstreams beside the daemon
+ * @param callsInProgress the calls taken from callers
+ * @param upkeep the upkeep duty
+ * @param entryHandler takes calls from callers
+ * @param admissionHandler takes calls from other daemons
+ * @param operatorHandler takes requests of operators
+ */
+record DaemonParts(
+    MeshState state,
+    MonotonicClock clock,
+    Reports reports,
+    ControlParts control,
+    LocalUpstreams upstreams,
+    CallsInProgress callsInProgress,
+    UpkeepDuty upkeep,
+    HttpHandler entryHandler,
+    HttpHandler admissionHandler,
+    HttpHandler operatorHandler) {
+
+  // -- construction
+
+  static DaemonParts create(DaemonSettings settings, MonotonicClock clock, ConnectionPools pools)
+      throws IOException {
+    Reports reports = Reports.create(settings.traces(), clock);
+    PeerKeys keys = PeerKeys.of(settings.peerKeys());
+    MeshState state =
+        new MeshState(
+            settings.zone(), settings.labels(), ConfigurationLog.empty(), new UrgentFacts());
+    LoadBoard loads = new LoadBoard();
+    AdmissionSettings admissionSettings =
+        new AdmissionSettings(settings.limits().coldLimit(), settings.limits().queueLength());
+    LocalUpstreams upstreams = new LocalUpstreams(admissionSettings, clock);
+    ControlParts control =
+        ControlParts.create(settings, keys, state, loads, reports.evidence(), clock);
+
+    Forwarder forwarder = new Forwarder(pools, clock);
+    CallSignature signature = new CallSignature(keys);
+    AdmissionService admission =
+        new AdmissionService(
+            state, upstreams, forwarder, reports.metrics(), reports.evidence(), clock);
+    EntryParts entryParts =
+        new EntryParts(
+            state,
+            settings.identifier(),
+            loads,
+            new UpstreamSelection(loads),
+            new RetryPolicy(new RetryBudget()),
+            admission,
+            forwarder,
+            signature,
+            reports.metrics(),
+            reports.tracing(),
+            settings.limits(),
+            clock,
+            ThreadLocalRandom::current);
+    CallsInProgress callsInProgress = new CallsInProgress();
+    DaemonMetrics.register(
+        reports.registry(),
+        state,
+        control.counters(),
+        control.gossip(),
+        upstreams,
+        callsInProgress);
+    return new DaemonParts(
+        state,
+        clock,
+        reports,
+        control,
+        upstreams,
+        callsInProgress,
+        new UpkeepDuty(state, upstreams, control.gossip(), reports.events()),
+        callsInProgress.counting(new EntryHandler(entryParts)),
+        new AdmissionHandler(state, admission, signature, reports.tracing(), clock),
+        operatorHandler(state, reports, control, upstreams, loads, clock));
+  }
+
+  private static OperatorHandler operatorHandler(
+      MeshState state,
+      Reports reports,
+      ControlParts control,
+      LocalUpstreams upstreams,
+      LoadBoard loads,
+      MonotonicClock clock) {
+    Acceptance acceptance = new Acceptance(control.store(), control.gossip());
+    ZoneCapacity capacity = new ZoneCapacity(state, candidate -> loads.of(candidate).busy());
+    StatusActions status =
+        new StatusActions(
+            state,
+            control.gossip(),
+            control.platformDuty(),
+            control.survey(),
+            upstreams,
+            reports.events(),
+            reports.registry());
+    return new OperatorHandler(
+        new ConfigurationActions(state, acceptance, control.platformDuty(), capacity),
+        new RolloutActions(state, acceptance, clock),
+        status,
+        new UpstreamActions(upstreams));
+  }
+
+  // -- duties
+
+  void startDuties() {
+    control.start();
+    upkeep.start();
+  }
+
+  void stopDuties() {
+    upkeep.stop();
+    control.stop();
+    reports.tracing().close();
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -0,0 +1,143 @@
+package org.parsleycart.daemon.call;
+
+import static java.util.Objects.requireNonNull;
+
+import io.opentelemetry.api.trace.SpanKind;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.daemon.report.CallTracing;
+import org.parsleycart.decision.Outcome;
+import org.parsleycart.decision.admission.LoadReport;
+import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.model.Contract;
+import org.parsleycart.model.Route;
+import org.xnio.IoUtils;
+
+/** Takes calls from the entries of other daemons and asks for their admission. */
+public final class AdmissionHandler implements HttpHandler {
+  private static final Duration LONGEST_DEADLINE = Duration.ofMinutes(5);
+
+  private final MeshState state;
+  private final AdmissionService admission;
+  private final CallSignature signature;
+  private final CallTracing tracing;
+  private final InstantSource clock;
+
+  // -- construction
+
+  /** Creates the handler. */
+  public AdmissionHandler(
+      MeshState state,
+      AdmissionService admission,
+      CallSignature signature,
+      CallTracing tracing,
+      InstantSource clock) {
+    this.state = requireNonNull(state, "state is null");
+    this.admission = requireNonNull(admission, "admission is null");
+    this.signature = requireNonNull(signature, "signature is null");
+    this.tracing = requireNonNull(tracing, "tracing is null");
+    this.clock = requireNonNull(clock, "clock is null");
+  }
+
+  // -- HttpHandler
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    exchange.dispatch(SameThreadExecutor.INSTANCE, () -> take(exchange));
+  }
+
+  private void take(HttpServerExchange exchange) {
+    String identifier = header(exchange, CallHeaders.REQUEST_IDENTIFIER);
+    String upstream = header(exchange, CallHeaders.UPSTREAM);
+    String routeName = header(exchange, CallHeaders.ROUTE);
+    String signed = header(exchange, CallHeaders.SIGNATURE);
+    boolean trusted = signature.isSigned(identifier, upstream, routeName, signed);
+    Optional<Contract> contract = contractOf(routeName);
+    if (!trusted || contract.isEmpty()) {
+      RefusalReason reason = trusted ? RefusalReason.NO_ROUTE : RefusalReason.BAD_REQUEST;
+      Refusals.toDaemon(exchange, identifier, Outcome.NOT_RUN, reason.toString());
+      return;
+    }
+    CallTracing.CallSpan span =
+        tracing
+            .startSpan(
+                "admission",
+                SpanKind.SERVER,
+                Optional.ofNullable(
+                    exchange.getRequestHeaders().getFirst(CallHeaders.TRACE_PARENT)))
+            .with("parsleycart.upstream", upstream);
+    RequestBody body =
+        exchange.isRequestComplete()
+            ? RequestBody.Held.empty()
+            : new RequestBody.Streamed(exchange.getRequestChannel());
+    admission.submit(
+        new LocalCall(
+            exchange,
+            body,
+            identifier,
+            upstream,
+            routeName,
+            contract.get(),
+            deadline(exchange),
+            span.traceParent(),
+            new Answer(exchange, identifier, span)));
+  }
+
+  private Optional<Contract> contractOf(String routeName) {
+    return state.configuration().routes().stream()
+        .filter(route -> route.name().equals(routeName))
+        .map(Route::contract)
+        .findFirst()
+        .flatMap(name -> state.configuration().contract(name));
+  }
+
+  private Instant deadline(HttpServerExchange exchange) {
+    String text = header(exchange, CallHeaders.DEADLINE);
+    long milliseconds = text.matches("[0-9]{1,9}") ? Long.parseLong(text) : 0;
+    return clock.instant().plusMillis(Math.min(milliseconds, LONGEST_DEADLINE.toMillis()));
+  }
+
+  private static String header(HttpServerExchange exchange, HttpString name) {
+    HeaderMap headers = exchange.getRequestHeaders();
+    String value = headers.getFirst(name);
+    return value == null ? "" : value;
+  }
+
+  /** Answers the entry. */
+  private record Answer(HttpServerExchange exchange, String identifier, CallTracing.CallSpan span)
+      implements LocalCall.Listener {
+
+    @Override
+    public void refused(RefusalReason reason) {
+      span.end(Outcome.NOT_RUN);
+      Refusals.toDaemon(exchange, identifier, Outcome.NOT_RUN, reason.toString());
+    }
+
+    @Override
+    public void beforeDelivery(HttpServerExchange delivered, LoadReport load) {
+      delivered.getResponseHeaders().put(CallHeaders.OUTCOME, Outcome.ANSWERED.toString());
+      delivered.getResponseHeaders().put(CallHeaders.LOAD, load.toString());
+    }
+
+    @Override
+    public void ended(AttemptEnd end) {
+      span.end(end.outcome());
+      if (end.delivered()) {
+        return;
+      }
+      if (exchange.isResponseStarted()) {
+        IoUtils.safeClose(exchange.getConnection());
+        return;
+      }
+      Refusals.toDaemon(exchange, identifier, end.outcome(), end.fault().name());
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -0,0 +1,71 @@
+package org.parsleycart.daemon.call;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+
+/** The headers that the mesh adds to calls, and the rules for passing on all others. */
+final class CallHeaders {
+  static final String PREFIX = "x-parsleycart-";
+  static final HttpString REQUEST_IDENTIFIER = new HttpString(PREFIX + "request-identifier");
+  static final HttpString UPSTREAM = new HttpString(PREFIX + "upstream");
+  static final HttpString ROUTE = new HttpString(PREFIX + "route");
+  static final HttpString DEADLINE = new HttpString(PREFIX + "deadline-milliseconds");
+  static final HttpString SIGNATURE = new HttpString(PREFIX + "signature");
+  static final HttpString OUTCOME = new HttpString(PREFIX + "outcome");
+  static final HttpString REASON = new HttpString(PREFIX + "reason");
+  static final HttpString LOAD = new HttpString(PREFIX + "load");
+  static final HttpString ZONE = new HttpString(PREFIX + "zone");
+  static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+  static final HttpString TRACE_PARENT = new HttpString("traceparent");
+
+  private static final Set<HttpString> HOP_BY_HOP =
+      Set.of(
+          Headers.CONNECTION,
+          new HttpString("Keep-Alive"),
+          Headers.PROXY_AUTHENTICATE,
+          Headers.PROXY_AUTHORIZATION,
+          new HttpString("Proxy-Connection"),
+          Headers.TE,
+          Headers.TRAILER,
+          Headers.TRANSFER_ENCODING,
+          Headers.UPGRADE,
+          Headers.EXPECT);
+
+  private CallHeaders() {}
+
+  /** Copies the headers that go end to end; those of the mesh and of one hop stay behind. */
+  static void copyEndToEnd(HeaderMap source, HeaderMap target) {
+    Set<HttpString> named = namedByConnection(source);
+    for (HeaderValues values : source) {
+      HttpString name = values.getHeaderName();
+      if (!HOP_BY_HOP.contains(name) && !named.contains(name) && !isOfMesh(name)) {
+        target.addAll(name, values);
+      }
+    }
+  }
+
+  /** Returns whether the header is one of the mesh, which callers may not set. */
+  static boolean isOfMesh(HttpString name) {
+    return name.toString().toLowerCase(Locale.ROOT).startsWith(PREFIX);
+  }
+
+  private static Set<HttpString> namedByConnection(HeaderMap source) {
+    HeaderValues connection = source.get(Headers.CONNECTION);
+    if (connection == null) {
+      return Set.of();
+    }
+    Set<HttpString> named = new HashSet<>();
+    connection.stream()
+        .flatMap(value -> Arrays.stream(value.split(",", -1)))
+        .map(String::trim)
+        .filter(name -> !name.isEmpty())
+        .forEach(name -> named.add(new HttpString(name)));
+    return named;
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -0,0 +1,164 @@
+package org.parsleycart.daemon.call;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.UndertowOptions;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioIoThread;
+
+/**
+ * The connections of one input/output thread, each with at most one call in flight.
+ *
+ * <p>Idle connections are kept warm, the most recently used first, up to a bound over all targets.
+ * Used by its thread alone.
+ */
+final class ConnectionPool {
+  private static final Duration LONGEST_IDLE = Duration.ofSeconds(20);
+
+  private final XnioIoThread thread;
+  private final ByteBufferPool buffers;
+  private final InstantSource clock;
+  private final int connectionsPerTarget;
+  private final int idleConnections;
+  private final Map<String, Target> targets = new HashMap<>();
+  private int idleCount;
+
+  private static final class Target {
+    private final Deque<Idle> idle = new ArrayDeque<>();
+    private int open;
+  }
+
+  private record Idle(ClientConnection connection, Instant since) {}
+
+  // -- construction
+
+  ConnectionPool(
+      XnioIoThread thread,
+      ByteBufferPool buffers,
+      InstantSource clock,
+      int connectionsPerTarget,
+      int idleConnections) {
+    this.thread = requireNonNull(thread, "thread is null");
+    this.buffers = requireNonNull(buffers, "buffers is null");
+    this.clock = requireNonNull(clock, "clock is null");
+    this.connectionsPerTarget = connectionsPerTarget;
+    this.idleConnections = idleConnections;
+  }
+
+  // -- operations
+
+  /** Gives an idle or a new connection to the address, {@code host:port}. */
+  void acquire(String address, ClientCallback<ClientConnection> callback) {
+    Target target = targets.computeIfAbsent(address, unused -> new Target());
+    ClientConnection warm = takeIdle(target);
+    if (warm != null) {
+      callback.completed(warm);
+      return;
+    }
+    if (target.open >= connectionsPerTarget) {
+      callback.failed(new IOException("all " + connectionsPerTarget + " connections in use"));
+      return;
+    }
+    target.open++;
+    connect(address, target, callback);
+  }
+
+  private void connect(String address, Target target, ClientCallback<ClientConnection> callback) {
+    UndertowClient.getInstance()
+        .connect(
+            new ClientCallback<>() {
+              @Override
+              public void completed(ClientConnection connection) {
+                connection.addCloseListener(closed -> thread.execute(() -> target.open--));
+                callback.completed(connection);
+              }
+
+              @Override
+              public void failed(IOException cause) {
+                target.open--;
+                callback.failed(cause);
+              }
+            },
+            URI.create("http://" + address + "/"),
+            thread,
+            buffers,
+            OptionMap.builder()
+                .set(UndertowOptions.ENABLE_HTTP2, false)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+  }
+
+  private ClientConnection takeIdle(Target target) {
+    Instant oldest = clock.instant().minus(LONGEST_IDLE);
+    while (!target.idle.isEmpty()) {
+      Idle idle = target.idle.pollFirst();
+      idleCount--;
+      if (idle.connection().isOpen() && idle.since().isAfter(oldest)) {
+        return idle.connection();
+      }
+      IoUtils.safeClose(idle.connection());
+    }
+    return null;
+  }
+
+  /** Takes back a connection whose exchange has ended whole. */
+  void release(String address, ClientConnection connection) {
+    Target target = targets.get(address);
+    if (!connection.isOpen() || target == null) {
+      IoUtils.safeClose(connection);
+      return;
+    }
+    target.idle.addFirst(new Idle(connection, clock.instant()));
+    idleCount++;
+    if (idleCount > idleConnections) {
+      dropOldest();
+    }
+  }
+
+  /** Closes a connection whose exchange did not end whole. */
+  void discard(ClientConnection connection) {
+    IoUtils.safeClose(connection);
+  }
+
+  private void dropOldest() {
+    Target stalest = null;
+    for (Target target : targets.values()) {
+      boolean older =
+          !target.idle.isEmpty()
+              && (stalest == null
+                  || target.idle.peekLast().since().isBefore(stalest.idle.peekLast().since()));
+      stalest = older ? target : stalest;
+    }
+    if (stalest != null) {
+      IoUtils.safeClose(stalest.idle.pollLast().connection());
+      idleCount--;
+    }
+    forgetUnused();
+  }
+
+  private void forgetUnused() {
+    Iterator<Target> all = targets.values().iterator();
+    while (all.hasNext()) {
+      Target target = all.next();
+      if (target.open == 0 && target.idle.isEmpty()) {
+        all.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryParts.java
@@ -0,0 +1,65 @@
+package org.parsleycart.daemon.call;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.InstantSource;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.daemon.report.CallMetrics;
+import org.parsleycart.daemon.report.CallTracing;
+import org.parsleycart.daemon.settings.DaemonLimits;
+import org.parsleycart.decision.routing.LoadBoard;
+import org.parsleycart.decision.routing.RetryPolicy;
+import org.parsleycart.decision.routing.UpstreamSelection;
+
+/**
+ * What the entry works with.
+ *
+ * @param state the mesh as this daemon knows it
+ * @param identifier this daemon
+ * @param loads the loads of upstreams
+ * @param selection chooses upstreams
+ * @param retries decides on retries
+ * @param admission admits calls to upstreams beside this daemon
+ * @param forwarder sends calls to other daemons
+ * @param signature signs calls to other daemons
+ * @param metrics counts calls
+ * @param tracing starts spans
+ * @param limits bounds of bodies
+ * @param clock the time
+ * @param random gives the calling thread its source of choices
+ */
+public record EntryParts(
+    MeshState state,
+    String identifier,
+    LoadBoard loads,
+    UpstreamSelection selection,
+    RetryPolicy retries,
+    AdmissionService admission,
+    Forwarder forwarder,
+    CallSignature signature,
+    CallMetrics metrics,
+    CallTracing tracing,
+    DaemonLimits limits,
+    InstantSource clock,
+    Supplier<RandomGenerator> random) {
+
+  // -- construction
+
+  public EntryParts {
+    requireNonNull(state, "state is null");
+    requireNonNull(identifier, "identifier is null");
+    requireNonNull(loads, "loads is null");
+    requireNonNull(selection, "selection is null");
+    requireNonNull(retries, "retries is null");
+    requireNonNull(admission, "admission is null");
+    requireNonNull(forwarder, "forwarder is null");
+    requireNonNull(signature, "signature is null");
+    requireNonNull(metrics, "metrics is null");
+    requireNonNull(tracing, "tracing is null");
+    requireNonNull(limits, "limits is null");
+    requireNonNull(clock, "clock is null");
+    requireNonNull(random, "random is null");
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstream.java
@@ -0,0 +1,54 @@
+package org.parsleycart.daemon.call;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Instant;
+import org.parsleycart.decision.admission.AdmissionControl;
+import org.parsleycart.decision.membership.AnnouncedUpstream;
+
+/**
+ * An upstream beside this daemon.
+ *
+ * @param announced what the other daemons know of it
+ * @param address where it takes requests, {@code host:port}
+ * @param renewBy when its announcement lapses
+ * @param admission admits the calls to it
+ */
+record LocalUpstream(
+    AnnouncedUpstream announced,
+    String address,
+    Instant renewBy,
+    AdmissionControl<LocalCall> admission) {
+
+  LocalUpstream {
+    requireNonNull(announced, "announced is null");
+    requireNonNull(address, "address is null");
+    requireNonNull(renewBy, "renewBy is null");
+    requireNonNull(admission, "admission is null");
+  }
+
+  /** Returns this upstream with a renewed announcement. */
+  LocalUpstream renewed(Instant newRenewBy) {
+    return new LocalUpstream(announced, address, newRenewBy, admission);
+  }
+
+  /** Returns whether an announcement renews this upstream; one that drains goes on draining. */
+  boolean isSameAs(AnnouncedUpstream other, String otherAddress) {
+    return announced.service().equals(other.service())
+        && announced.version().equals(other.version())
+        && announced.slots() == other.slots()
+        && address.equals(otherAddress);
+  }
+
+  /** Returns this upstream as one that takes no new calls. */
+  LocalUpstream draining() {
+    AnnouncedUpstream drained =
+        new AnnouncedUpstream(
+            announced.identifier(),
+            announced.service(),
+            announced.version(),
+            announced.slots(),
+            true);
+    return new LocalUpstream(drained, address, renewBy, admission);
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -0,0 +1,156 @@
+package org.parsleycart.daemon.call;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.parsleycart.decision.admission.Admission;
+import org.parsleycart.decision.admission.AdmissionControl;
+import org.parsleycart.decision.admission.AdmissionSettings;
+import org.parsleycart.decision.admission.LoadReport;
+import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.membership.AnnouncedUpstream;
+
+/**
+ * The upstreams beside this daemon, as they announced themselves. Safe for use by several threads.
+ */
+public final class LocalUpstreams {
+  private final Map<String, LocalUpstream> upstreams = new ConcurrentHashMap<>();
+  private final AdmissionSettings settings;
+  private final InstantSource clock;
+  private volatile Runnable changed = () -> {};
+
+  /**
+   * The state of an upstream for operators.
+   *
+   * @param announced what it announced
+   * @param address where it takes requests
+   * @param load its load
+   * @param coldReturns how often it fell back to cold
+   */
+  public record View(
+      AnnouncedUpstream announced, String address, LoadReport load, long coldReturns) {}
+
+  // -- construction
+
+  /** Creates an empty set. */
+  public LocalUpstreams(AdmissionSettings settings, InstantSource clock) {
+    this.settings = requireNonNull(settings, "settings is null");
+    this.clock = requireNonNull(clock, "clock is null");
+  }
+
+  /** Sets what to run when the announcements have changed. */
+  public void onChange(Runnable listener) {
+    changed = requireNonNull(listener, "listener is null");
+  }
+
+  // -- announcements
+
+  /**
+   * Takes an announcement or its renewal.
+   *
+   * @param announced the upstream
+   * @param address where it takes requests
+   * @param renewWithin how long the announcement lasts
+   */
+  public void announce(AnnouncedUpstream announced, String address, Duration renewWithin) {
+    Instant renewBy = clock.instant().plus(renewWithin);
+    LocalUpstream before = upstreams.get(announced.identifier());
+    if (before != null && before.isSameAs(announced, address)) {
+      upstreams.put(announced.identifier(), before.renewed(renewBy));
+      return;
+    }
+    AdmissionControl<LocalCall> admission =
+        new AdmissionControl<>(settings, announced.slots(), clock);
+    upstreams.put(
+        announced.identifier(), new LocalUpstream(announced, address, renewBy, admission));
+    changed.run();
+  }
+
+  /** Lets an upstream finish its calls and take no new ones; returns whether it is known. */
+  public boolean drain(String identifier) {
+    LocalUpstream drained = upstreams.computeIfPresent(identifier, (key, held) -> held.draining());
+    changed.run();
+    return drained != null;
+  }
+
+  /** Removes an upstream; returns whether it was known. */
+  public boolean leave(String identifier) {
+    LocalUpstream gone = upstreams.remove(identifier);
+    if (gone == null) {
+      return false;
+    }
+    refuseAll(gone.admission().close(RefusalReason.UPSTREAM_GONE));
+    changed.run();
+    return true;
+  }
+
+  /** Removes the upstreams whose announcement has lapsed; returns their identifiers. */
+  public List<String> expire() {
+    Instant now = clock.instant();
+    List<String> lapsed =
+        upstreams.values().stream()
+            .filter(upstream -> upstream.renewBy().isBefore(now))
+            .map(upstream -> upstream.announced().identifier())
+            .toList();
+    lapsed.forEach(this::leave);
+    upstreams.values().forEach(upstream -> refuseAll(upstream.admission().expire()));
+    return lapsed;
+  }
+
+  /** Closes admission to all upstreams, as when the zone is withdrawn. */
+  public void closeAll(RefusalReason reason) {
+    upstreams.values().forEach(upstream -> refuseAll(upstream.admission().close(reason)));
+  }
+
+  /** Opens admission to all upstreams again; they start cold. */
+  public void openAll() {
+    upstreams.values().forEach(upstream -> upstream.admission().open());
+  }
+
+  static void refuseAll(Admission<LocalCall> admission) {
+    admission
+        .refuse()
+        .forEach(
+            refused -> {
+              LocalCall call = refused.call().call();
+              call.exchange()
+                  .getIoThread()
+                  .execute(() -> call.listener().refused(refused.reason()));
+            });
+  }
+
+  // -- queries
+
+  Optional<LocalUpstream> find(String identifier) {
+    return Optional.ofNullable(upstreams.get(identifier));
+  }
+
+  /** Returns what to announce to other daemons. */
+  public List<AnnouncedUpstream> announced() {
+    return upstreams.values().stream().map(LocalUpstream::announced).toList();
+  }
+
+  /** Returns the calls running beside this daemon. */
+  public int running() {
+    return upstreams.values().stream().mapToInt(each -> each.admission().running()).sum();
+  }
+
+  /** Returns the upstreams for operators. */
+  public List<View> view() {
+    return upstreams.values().stream()
+        .map(
+            each ->
+                new View(
+                    each.announced(),
+                    each.address(),
+                    each.admission().load(),
+                    each.admission().coldReturns()))
+        .toList();
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlAnswers.java
@@ -0,0 +1,68 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.function.Function;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.daemon.report.CallEvidence;
+import org.parsleycart.decision.membership.BucketDigests;
+import org.parsleycart.decision.message.ControlMessage;
+import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
+import org.parsleycart.decision.message.ControlMessage.EvidenceAnswer;
+import org.parsleycart.decision.message.ControlMessage.EvidenceRequest;
+import org.parsleycart.decision.message.ControlMessage.Failure;
+import org.parsleycart.decision.message.ControlMessage.InForceRequest;
+import org.parsleycart.decision.message.ControlMessage.MembershipAnswer;
+import org.parsleycart.decision.message.ControlMessage.MembershipRequest;
+
+/** Answers the requests of other daemons. Safe for use by several threads. */
+public final class ControlAnswers implements Function<ControlMessage, ControlMessage> {
+  private final MeshState state;
+  private final GossipDuty gossip;
+  private final InForceSurvey survey;
+  private final CallEvidence evidence;
+
+  // -- construction
+
+  /** Creates the answers. */
+  public ControlAnswers(
+      MeshState state, GossipDuty gossip, InForceSurvey survey, CallEvidence evidence) {
+    this.state = requireNonNull(state, "state is null");
+    this.gossip = requireNonNull(gossip, "gossip is null");
+    this.survey = requireNonNull(survey, "survey is null");
+    this.evidence = requireNonNull(evidence, "evidence is null");
+  }
+
+  // -- Function
+
+  @Override
+  public ControlMessage apply(ControlMessage request) {
+    requireNonNull(request, "request is null");
+    if (request instanceof ConfigurationRequest configuration) {
+      return state.log().answer(configuration);
+    }
+    if (request instanceof MembershipRequest membership) {
+      return answer(membership);
+    }
+    if (request instanceof InForceRequest inForce) {
+      return survey.answer(inForce);
+    }
+    if (request instanceof EvidenceRequest evidenceRequest) {
+      return new EvidenceAnswer(evidence.of(evidenceRequest.service()));
+    }
+    return new Failure("a message of this type takes no answer");
+  }
+
+  private MembershipAnswer answer(MembershipRequest request) {
+    gossip.submit(
+        (protocol, pulls) -> {
+          protocol.takeRecords(List.of(request.self()));
+          return List.of();
+        });
+    return new MembershipAnswer(
+        state.log().head(),
+        BucketDigests.differing(gossip.view().records(), request),
+        state.facts().all());
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DurableFacts.java
@@ -0,0 +1,84 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Optional;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.decision.membership.MemberRecord;
+import org.parsleycart.decision.membership.Rendezvous;
+import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.model.Configuration;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.ResourceKind;
+import org.parsleycart.model.Rollout;
+import org.parsleycart.model.RolloutPhase;
+import org.parsleycart.platform.ConfigurationStore;
+
+/**
+ * Writes urgent facts into the configuration once the platform answers.
+ *
+ * <p>One daemon does this for each subject; if two do, the change identifier makes them one change.
+ */
+public final class DurableFacts {
+  private static final String AUTHOR = "parsleycart";
+
+  private final MeshState state;
+  private final ConfigurationStore store;
+
+  // -- construction
+
+  /** Creates the writer. */
+  public DurableFacts(MeshState state, ConfigurationStore store) {
+    this.state = requireNonNull(state, "state is null");
+    this.store = requireNonNull(store, "store is null");
+  }
+
+  // -- operation
+
+  /** Writes the facts that this daemon is responsible for and that the configuration lacks. */
+  public void makeDurable(MembershipView view, boolean platformReachable) {
+    if (!platformReachable) {
+      return;
+    }
+    state.facts().all().stream()
+        .filter(fact -> isResponsible(view, fact))
+        .flatMap(fact -> missingChange(fact).stream())
+        .forEach(change -> store.accept(change, Optional.empty()));
+  }
+
+  private static boolean isResponsible(MembershipView view, UrgentFact fact) {
+    Optional<String> owner =
+        Rendezvous.owner(view.alive().map(MemberRecord::identifier), fact.subject().toString());
+    return owner.equals(Optional.of(view.self().identifier()));
+  }
+
+  private Optional<ConfigurationChange> missingChange(UrgentFact fact) {
+    Configuration configuration = state.configuration();
+    if (fact.subject().kind() == ResourceKind.AVAILABILITY_ZONE) {
+      return missingZoneChange(fact, configuration);
+    }
+    return configuration
+        .rollout(fact.subject().name())
+        .filter(rollout -> rollout.phase().isActive())
+        .filter(rollout -> state.facts().condemnation(rollout).isPresent())
+        .map(rollout -> condemnation(rollout, fact));
+  }
+
+  private Optional<ConfigurationChange> missingZoneChange(
+      UrgentFact fact, Configuration configuration) {
+    String zone = fact.subject().name();
+    boolean pending = state.facts().pendingZone(configuration, zone).isPresent();
+    if (!pending || configuration.isWithdrawn(zone) == fact.restrictive()) {
+      return Optional.empty();
+    }
+    String identifier = "zone-" + zone + "-" + fact.epoch() + "-" + fact.counter();
+    return ZoneChanges.change(configuration, zone, fact.restrictive(), identifier, AUTHOR);
+  }
+
+  private static ConfigurationChange condemnation(Rollout rollout, UrgentFact fact) {
+    Rollout takenBack = rollout.withPhase(RolloutPhase.TAKEN_BACK, fact.reason());
+    String identifier = "condemn-" + rollout.name() + "-" + rollout.startedAt();
+    return new ConfigurationChange(identifier, AUTHOR, List.of(takenBack), List.of());
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/FirstPeers.java
@@ -0,0 +1,79 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.parsleycart.decision.membership.MemberRecord;
+import org.parsleycart.platform.Row;
+import org.parsleycart.platform.TransactionalTable;
+
+/**
+ * Finds the first peers of a daemon that knows none: from its settings, and from a fixed number of
+ * rendezvous rows for each zone, so that the cost at the platform does not grow with the fleet.
+ */
+public final class FirstPeers {
+  private static final String PREFIX = "rendezvous/";
+  private static final int ROWS_PER_ZONE = 3;
+  private static final int MOST_ROWS = 64;
+
+  private final TransactionalTable table;
+  private final List<String> seeds;
+  private final RandomGenerator random;
+  private boolean claimed;
+
+  // -- construction
+
+  /** Creates the search. */
+  public FirstPeers(TransactionalTable table, List<String> seeds, RandomGenerator random) {
+    this.table = requireNonNull(table, "table is null");
+    this.seeds = List.copyOf(seeds);
+    this.random = requireNonNull(random, "random is null");
+  }
+
+  // -- operation
+
+  /** Returns the control addresses to try, and leaves the daemon's own in a rendezvous row. */
+  public List<String> find(MemberRecord self) {
+    requireNonNull(self, "self is null");
+    List<Row> rows = table.scan(PREFIX, "", MOST_ROWS).getOrElse(List.of());
+    Stream<String> rendezvous = rows.stream().map(FirstPeers::address);
+    List<String> peers =
+        Stream.concat(seeds.stream(), rendezvous)
+            .filter(address -> !address.equals(self.identifier()))
+            .distinct()
+            .toList();
+    claimed = claimed || claim(self, rows);
+    return peers;
+  }
+
+  /** Takes a free row of the zone, or else replaces one, which may be stale. */
+  private boolean claim(MemberRecord self, List<Row> rows) {
+    if (rows.stream().anyMatch(row -> address(row).equals(self.identifier()))) {
+      return true;
+    }
+    byte[] value = self.identifier().getBytes(StandardCharsets.UTF_8);
+    Optional<String> free =
+        IntStream.range(0, ROWS_PER_ZONE)
+            .mapToObj(index -> PREFIX + self.zone() + "/" + index)
+            .filter(key -> rows.stream().noneMatch(row -> row.key().equals(key)))
+            .findFirst();
+    if (free.isPresent()) {
+      return table.insertIfAbsent(free.get(), value).getOrElse(false);
+    }
+    String key = PREFIX + self.zone() + "/" + random.nextInt(ROWS_PER_ZONE);
+    return rows.stream()
+        .filter(row -> row.key().equals(key))
+        .findFirst()
+        .map(row -> table.compareAndSet(key, row.revision(), value).getOrElse(false))
+        .orElse(false);
+  }
+
+  private static String address(Row row) {
+    return new String(row.value(), StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipDuty.java
@@ -0,0 +1,182 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.decision.membership.GossipProtocol;
+import org.parsleycart.decision.membership.MembershipTable;
+import org.parsleycart.decision.message.Outgoing;
+import org.parsleycart.decision.routing.LoadBoard;
+import org.parsleycart.decision.routing.UpstreamDirectory;
+import org.parsleycart.decision.spreading.PullPlanner;
+import org.parsleycart.link.BoundedRing;
+import org.parsleycart.link.DatagramLink;
+import org.parsleycart.link.Threads;
+
+/**
+ * The duty that probes members and passes on gossip. Its thread alone uses the protocol; other
+ * threads hand it commands through a ring and read the published view.
+ */
+public final class GossipDuty {
+  /** A command that does not fit the ring is dropped; the next gossip or repair makes up for it. */
+  private static final int RING_CAPACITY = 1024;
+
+  private static final Duration TICK = Duration.ofMillis(25);
+  private static final Duration SHORTEST_PUBLICATION_INTERVAL = Duration.ofMillis(50);
+
+  private final GossipProtocol protocol;
+  private final PullPlanner pulls;
+  private final DatagramLink link;
+  private final MeshState state;
+  private final LoadBoard loads;
+  private final InstantSource clock;
+  private final PullDuty pullDuty;
+  private final BoundedRing<Command> commands = new BoundedRing<>(RING_CAPACITY);
+  private final Thread thread;
+  private volatile MembershipView view;
+  private volatile boolean stopped;
+  private volatile Instant lastHeardOutsideZone;
+  private volatile boolean knowsOtherZones;
+  private long publishedChanges = -1;
+  private long publishedVersion = -1;
+  private List<?> publishedFacts = List.of();
+  private Instant nextTick;
+  private Instant nextPublication;
+
+  /** Work for the thread of this duty. */
+  @FunctionalInterface
+  public interface Command {
+    /** Does the work and returns the messages to send. */
+    List<Outgoing> run(GossipProtocol protocol, PullPlanner pulls);
+  }
+
+  // -- construction
+
+  /** Creates the duty; {@link #start} starts its thread. */
+  public GossipDuty(
+      GossipProtocol protocol,
+      PullPlanner pulls,
+      DatagramLink link,
+      MeshState state,
+      LoadBoard loads,
+      InstantSource clock,
+      PullDuty pullDuty) {
+    this.protocol = requireNonNull(protocol, "protocol is null");
+    this.pulls = requireNonNull(pulls, "pulls is null");
+    this.link = requireNonNull(link, "link is null");
+    this.state = requireNonNull(state, "state is null");
+    this.loads = requireNonNull(loads, "loads is null");
+    this.clock = requireNonNull(clock, "clock is null");
+    this.pullDuty = requireNonNull(pullDuty, "pullDuty is null");
+    this.nextTick = clock.instant();
+    this.nextPublication = nextTick;
+    this.lastHeardOutsideZone = nextTick;
+    this.view = toView();
+    this.thread = Threads.daemon("probing", this::run);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Stops the thread. */
+  public void stop() {
+    stopped = true;
+  }
+
+  // -- operation
+
+  /** Hands a command to the thread; returns false when it was dropped. */
+  public boolean submit(Command command) {
+    return commands.offer(command);
+  }
+
+  private void run() {
+    while (!stopped) {
+      runCommands();
+      long wait = Duration.between(clock.instant(), nextTick).toMillis();
+      link.receive((int) Math.max(1, wait))
+          .ifPresent(message -> protocol.receive(message).forEach(link::send));
+      if (!clock.instant().isBefore(nextTick)) {
+        tick();
+      }
+    }
+    link.close();
+  }
+
+  private void runCommands() {
+    Optional<Command> command = commands.poll();
+    while (command.isPresent()) {
+      command.get().run(protocol, pulls).forEach(link::send);
+      command = commands.poll();
+    }
+  }
+
+  private void tick() {
+    Instant now = clock.instant();
+    nextTick = now.plus(TICK);
+    protocol.tick().forEach(link::send);
+    pulls.next(state.log().head(), now).ifPresent(pullDuty::pull);
+    lastHeardOutsideZone = protocol.lastHeardOutsideZone();
+    publishIfChanged(now);
+  }
+
+  private void publishIfChanged(Instant now) {
+    MembershipTable table = protocol.table();
+    long version = state.configuration().version();
+    List<?> facts = state.facts().all();
+    boolean changed =
+        table.changes() != publishedChanges
+            || version != publishedVersion
+            || !facts.equals(publishedFacts);
+    if (!changed || now.isBefore(nextPublication)) {
+      return;
+    }
+    nextPublication = now.plus(SHORTEST_PUBLICATION_INTERVAL);
+    publishedChanges = table.changes();
+    publishedVersion = version;
+    publishedFacts = facts;
+    knowsOtherZones = protocol.knowsOtherZones();
+    view = toView();
+    UpstreamDirectory directory =
+        UpstreamDirectory.of(
+            table.all(),
+            state.zone(),
+            zone -> state.facts().isWithdrawn(state.configuration(), zone));
+    state.setDirectory(directory);
+    loads.retain(directory);
+  }
+
+  private MembershipView toView() {
+    MembershipTable table = protocol.table();
+    return new MembershipView(table.self(), table.all().toList());
+  }
+
+  // -- queries
+
+  /** Returns the members at the last publication. */
+  public MembershipView view() {
+    return view;
+  }
+
+  /** Returns when a daemon of another zone was last heard. */
+  public Instant lastHeardOutsideZone() {
+    return lastHeardOutsideZone;
+  }
+
+  /** Returns whether daemons of other zones are known. */
+  public boolean knowsOtherZones() {
+    return knowsOtherZones;
+  }
+
+  /** Returns how many commands were dropped. */
+  public long droppedCommands() {
+    return commands.refused();
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
@@ -0,0 +1,214 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.spreading.PollSchedule;
+import org.parsleycart.decision.spreading.StartConfirmation;
+import org.parsleycart.link.BoundedRing;
+import org.parsleycart.link.Threads;
+import org.parsleycart.platform.ConfigurationStore;
+import org.parsleycart.platform.PlatformError;
+import org.tinylog.Logger;
+
+/**
+ * The duty that reads the platform at a pace that does not grow with the fleet, finds first peers,
+ * confirms the configuration of a new daemon, and makes urgent facts durable.
+ */
+public final class PlatformDuty {
+  private static final long STEP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final Duration SYNCHRONIZATION_INTERVAL = Duration.ofSeconds(20);
+  private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration ISOLATION_AFTER = Duration.ofSeconds(5);
+  private static final Duration FACT_INTERVAL = Duration.ofSeconds(1);
+  private static final int RING_CAPACITY = 16;
+
+  private final MeshState state;
+  private final ConfigurationStore store;
+  private final GossipDuty gossip;
+  private final PullDuty pulls;
+  private final FirstPeers firstPeers;
+  private final DurableFacts durableFacts;
+  private final PollSchedule schedule;
+  private final StartConfirmation confirmation = new StartConfirmation();
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final BoundedRing<Runnable> work = new BoundedRing<>(RING_CAPACITY);
+  private final Thread thread;
+  private volatile boolean platformReachable = true;
+  private volatile boolean stopped;
+  private Instant lastPlatformAnswer;
+  private Instant nextSynchronization;
+  private Instant nextJoin;
+  private Instant nextFacts;
+
+  // -- construction
+
+  /** Creates the duty; {@link #start} starts its thread. */
+  public PlatformDuty(
+      MeshState state,
+      ConfigurationStore store,
+      GossipDuty gossip,
+      PullDuty pulls,
+      FirstPeers firstPeers,
+      DurableFacts durableFacts,
+      PollSchedule schedule,
+      InstantSource clock,
+      RandomGenerator random) {
+    this.state = requireNonNull(state, "state is null");
+    this.store = requireNonNull(store, "store is null");
+    this.gossip = requireNonNull(gossip, "gossip is null");
+    this.pulls = requireNonNull(pulls, "pulls is null");
+    this.firstPeers = requireNonNull(firstPeers, "firstPeers is null");
+    this.durableFacts = requireNonNull(durableFacts, "durableFacts is null");
+    this.schedule = requireNonNull(schedule, "schedule is null");
+    this.clock = requireNonNull(clock, "clock is null");
+    this.random = requireNonNull(random, "random is null");
+    Instant now = clock.instant();
+    this.lastPlatformAnswer = now;
+    this.nextSynchronization = now;
+    this.nextJoin = now;
+    this.nextFacts = now;
+    this.thread = Threads.daemon("platform", this::run);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Stops the thread. */
+  public void stop() {
+    stopped = true;
+  }
+
+  // -- operation
+
+  private void run() {
+    while (!stopped) {
+      work.poll(STEP_NANOSECONDS).ifPresent(Runnable::run);
+      step();
+    }
+  }
+
+  private void step() {
+    Instant now = clock.instant();
+    joinWhenDue(now);
+    synchronizeWhenDue(now);
+    if (schedule.isDue(now)) {
+      poll();
+    }
+    confirm();
+    updateIsolation(clock.instant());
+    if (!now.isBefore(nextFacts)) {
+      nextFacts = now.plus(FACT_INTERVAL);
+      durableFacts.makeDurable(gossip.view(), platformReachable);
+    }
+  }
+
+  private void joinWhenDue(Instant now) {
+    if (now.isBefore(nextJoin)) {
+      return;
+    }
+    nextJoin = now.plus(JOIN_INTERVAL);
+    MembershipView view = gossip.view();
+    if (view.size() > 1) {
+      return;
+    }
+    firstPeers
+        .find(view.self())
+        .forEach(
+            peer -> {
+              gossip.submit((protocol, planner) -> List.of(protocol.introduce(peer)));
+              pulls.synchronize(peer, view, false);
+            });
+  }
+
+  private void synchronizeWhenDue(Instant now) {
+    if (now.isBefore(nextSynchronization)) {
+      return;
+    }
+    MembershipView view = gossip.view();
+    List<String> others = view.others();
+    if (others.isEmpty()) {
+      return;
+    }
+    long interval = SYNCHRONIZATION_INTERVAL.toMillis();
+    nextSynchronization = now.plusMillis(interval / 2 + random.nextLong(interval));
+    pulls.synchronize(others.get(random.nextInt(others.size())), view, true);
+  }
+
+  private void poll() {
+    Either<PlatformError, Integer> result = store.catchUp();
+    Instant now = clock.instant();
+    schedule.polled(result.isRight(), state.isIsolated(), gossip.view().size(), now);
+    if (result.isRight()) {
+      lastPlatformAnswer = now;
+      confirmation.platformAnswered();
+    }
+    noteReachability(result);
+    if (result.isRight() && result.get() > 0) {
+      gossip.submit((protocol, planner) -> protocol.announce());
+    }
+  }
+
+  private void noteReachability(Either<PlatformError, Integer> result) {
+    boolean reachable = result.isRight();
+    if (reachable != platformReachable) {
+      platformReachable = reachable;
+      String cause = reachable ? "answers again" : result.getLeft().message();
+      Logger.info("platform {}: {}", reachable ? "reachable" : "unreachable", cause);
+    }
+  }
+
+  private void confirm() {
+    if (state.isReady() || state.isStopping()) {
+      return;
+    }
+    MembershipView view = gossip.view();
+    if (confirmation.isConfirmed(state.configuration().version(), view.size() - 1)) {
+      state.setReady();
+      Logger.info("ready with configuration version {}", state.configuration().version());
+    }
+  }
+
+  private void updateIsolation(Instant now) {
+    Instant oldest = now.minus(ISOLATION_AFTER);
+    boolean isolated =
+        gossip.knowsOtherZones()
+            && gossip.lastHeardOutsideZone().isBefore(oldest)
+            && lastPlatformAnswer.isBefore(oldest);
+    if (isolated != state.isIsolated()) {
+      state.setIsolated(isolated);
+      Logger.info(isolated ? "isolated: refusing new work" : "no longer isolated");
+    }
+    if (gossip.knowsOtherZones() && gossip.lastHeardOutsideZone().isBefore(oldest)) {
+      schedule.hurry(now);
+    }
+  }
+
+  // -- queries and events
+
+  /** Returns whether the last request to the platform was answered. */
+  public boolean isPlatformReachable() {
+    return platformReachable;
+  }
+
+  /** Takes the head that a peer told while this daemon was starting. */
+  public void peerHead(String peer, long version) {
+    work.offer(() -> confirmation.peerAnswered(peer, version));
+  }
+
+  /** Passes on a fact that this daemon decided. */
+  public void announce(UrgentFact fact) {
+    gossip.submit((protocol, planner) -> protocol.announceUrgent(fact));
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PullDuty.java
@@ -0,0 +1,116 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
+import org.parsleycart.decision.membership.BucketDigests;
+import org.parsleycart.decision.message.ControlMessage;
+import org.parsleycart.decision.message.ControlMessage.ConfigurationAnswer;
+import org.parsleycart.decision.message.ControlMessage.MembershipAnswer;
+import org.parsleycart.decision.message.ControlMessage.MembershipRequest;
+import org.parsleycart.decision.message.Outgoing;
+import org.parsleycart.decision.spreading.ConfigurationLog;
+import org.parsleycart.decision.spreading.PullPlanner;
+import org.parsleycart.decision.spreading.SpreadingError;
+import org.parsleycart.link.BoundedRing;
+import org.parsleycart.link.FrameClient;
+import org.parsleycart.link.LinkError;
+import org.parsleycart.link.Threads;
+
+/** The duty that asks peers for missing versions and for member records. */
+public final class PullDuty {
+  /** A pull that does not fit the ring counts as failed and is planned again. */
+  private static final int RING_CAPACITY = 16;
+
+  private static final long WAIT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final FrameClient client;
+  private final ConfigurationLog log;
+  private final InstantSource clock;
+  private final BoundedRing<Runnable> work = new BoundedRing<>(RING_CAPACITY);
+  private final Thread thread;
+  private volatile Consumer<GossipDuty.Command> gossip = command -> {};
+  private volatile ObjLongConsumer<String> peerHeads = (peer, version) -> {};
+  private volatile boolean stopped;
+
+  // -- construction
+
+  /** Creates the duty; {@link #start} starts its thread. */
+  public PullDuty(FrameClient client, ConfigurationLog log, InstantSource clock) {
+    this.client = requireNonNull(client, "client is null");
+    this.log = requireNonNull(log, "log is null");
+    this.clock = requireNonNull(clock, "clock is null");
+    this.thread = Threads.daemon("spreading", this::run);
+  }
+
+  /** Starts the thread; results go to the given duty, and the heads of peers to the consumer. */
+  public void start(GossipDuty gossipDuty, ObjLongConsumer<String> peerHeadConsumer) {
+    gossip = gossipDuty::submit;
+    peerHeads = requireNonNull(peerHeadConsumer, "peerHeadConsumer is null");
+    thread.start();
+  }
+
+  /** Stops the thread. */
+  public void stop() {
+    stopped = true;
+  }
+
+  // -- operation
+
+  /** Asks a peer for missing versions. */
+  public void pull(Outgoing request) {
+    requireNonNull(request, "request is null");
+    work.offer(() -> pullNow(request));
+  }
+
+  /** Asks a peer for the member records that differ. */
+  public void synchronize(String peer, MembershipView view, boolean hasPeers) {
+    List<Long> digests = hasPeers ? BucketDigests.of(view.records()) : List.of(0L);
+    work.offer(() -> synchronizeNow(peer, new MembershipRequest(view.self(), digests)));
+  }
+
+  private void run() {
+    while (!stopped) {
+      work.poll(WAIT_NANOSECONDS).ifPresent(Runnable::run);
+    }
+  }
+
+  private void pullNow(Outgoing request) {
+    Either<LinkError, ControlMessage> answer =
+        client.ask(request.target(), request.message(), PullPlanner.PULL_TIMEOUT);
+    if (answer.isRight() && answer.get() instanceof ConfigurationAnswer configuration) {
+      Either<SpreadingError, Integer> result = log.receive(configuration);
+      gossip.accept(
+          (protocol, pulls) -> {
+            pulls.noteAnswer(result.isRight(), clock.instant());
+            boolean news = result.isRight() && result.get() > 0;
+            return news ? protocol.announce() : List.of();
+          });
+    } else {
+      gossip.accept(
+          (protocol, pulls) -> {
+            pulls.noteFailure(clock.instant());
+            return List.of();
+          });
+    }
+  }
+
+  private void synchronizeNow(String peer, MembershipRequest request) {
+    Either<LinkError, ControlMessage> answer = client.ask(peer, request, PullPlanner.PULL_TIMEOUT);
+    if (answer.isRight() && answer.get() instanceof MembershipAnswer membership) {
+      peerHeads.accept(peer, membership.head().version());
+      gossip.accept(
+          (protocol, pulls) -> {
+            protocol.takeRecords(membership.records());
+            protocol.takeUrgent(membership.urgent());
+            pulls.noteHead(peer, membership.head(), log.head());
+            return List.of();
+          });
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ZoneCapacity.java
@@ -0,0 +1,98 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.decision.routing.Candidate;
+
+/** Foretells whether the other zones can bear the load of a zone that is to be withdrawn. */
+public final class ZoneCapacity {
+  /** The share of the slots that may be in use after the withdrawal. */
+  private static final double HIGHEST_UTILIZATION = 0.9;
+
+  private final MeshState state;
+  private final LoadEstimates loads;
+
+  /** Tells the calls in flight at an upstream, as far as this daemon has heard. */
+  @FunctionalInterface
+  public interface LoadEstimates {
+    /** Returns the busy slots of the upstream. */
+    double busySlots(Candidate candidate);
+  }
+
+  /**
+   * The services that would be short of slots.
+   *
+   * @param shortfalls a line for each such service
+   */
+  public record Forecast(List<String> shortfalls) {
+    public Forecast {
+      shortfalls = List.copyOf(shortfalls);
+    }
+
+    /** Returns whether no service would be short of slots. */
+    public boolean isSufficient() {
+      return shortfalls.isEmpty();
+    }
+  }
+
+  // -- construction
+
+  /** Creates the forecast over the upstreams known. */
+  public ZoneCapacity(MeshState state, LoadEstimates loads) {
+    this.state = requireNonNull(state, "state is null");
+    this.loads = requireNonNull(loads, "loads is null");
+  }
+
+  // -- queries
+
+  /** Foretells the withdrawal of a zone. */
+  public Forecast without(String zone) {
+    requireNonNull(zone, "zone is null");
+    Map<String, List<Candidate>> byService =
+        state
+            .directory()
+            .all()
+            .collect(
+                Collectors.groupingBy(
+                    candidate -> candidate.upstream().service(),
+                    TreeMap::new,
+                    Collectors.toList()));
+    List<String> shortfalls =
+        byService.entrySet().stream()
+            .filter(entry -> serves(entry.getValue(), zone))
+            .filter(entry -> !suffices(entry.getValue(), zone))
+            .map(entry -> shortfall(entry.getKey(), entry.getValue(), zone))
+            .toList();
+    return new Forecast(shortfalls);
+  }
+
+  private static boolean serves(List<Candidate> upstreams, String zone) {
+    return upstreams.stream().anyMatch(candidate -> candidate.zone().equals(zone));
+  }
+
+  private boolean suffices(List<Candidate> upstreams, String zone) {
+    int slots = remainingSlots(upstreams, zone);
+    return slots > 0 && busySlots(upstreams) <= slots * HIGHEST_UTILIZATION;
+  }
+
+  private String shortfall(String service, List<Candidate> upstreams, String zone) {
+    return "%s: %.0f slots in use, %d slots outside %s"
+        .formatted(service, busySlots(upstreams), remainingSlots(upstreams, zone), zone);
+  }
+
+  private static int remainingSlots(List<Candidate> upstreams, String zone) {
+    return upstreams.stream()
+        .filter(candidate -> !candidate.zone().equals(zone))
+        .mapToInt(candidate -> candidate.upstream().slots())
+        .sum();
+  }
+
+  private double busySlots(List<Candidate> upstreams) {
+    return upstreams.stream().mapToDouble(loads::busySlots).sum();
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ZoneChanges.java
@@ -0,0 +1,50 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.parsleycart.model.Configuration;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.ResourceKind;
+import org.parsleycart.model.ResourceReference;
+import org.parsleycart.model.Selector;
+import org.parsleycart.model.Withdrawal;
+
+/** The configuration changes that withdraw and return single zones. */
+public final class ZoneChanges {
+  private ZoneChanges() {}
+
+  /**
+   * Returns the change that withdraws or returns a zone.
+   *
+   * @param configuration the configuration in force
+   * @param zone the name of the zone
+   * @param withdraw whether to withdraw it
+   * @param identifier the identifier of the change
+   * @param author who asks for it
+   * @return the change, or empty when there is nothing to return
+   */
+  public static Optional<ConfigurationChange> change(
+      Configuration configuration,
+      String zone,
+      boolean withdraw,
+      String identifier,
+      String author) {
+    requireNonNull(configuration, "configuration is null");
+    ResourceReference reference = withdrawalOf(zone);
+    if (withdraw) {
+      Withdrawal withdrawal = new Withdrawal(reference.name(), Selector.of(Map.of("name", zone)));
+      return Optional.of(
+          new ConfigurationChange(identifier, author, List.of(withdrawal), List.of()));
+    }
+    return configuration
+        .resource(reference)
+        .map(unused -> new ConfigurationChange(identifier, author, List.of(), List.of(reference)));
+  }
+
+  private static ResourceReference withdrawalOf(String zone) {
+    return new ResourceReference(ResourceKind.WITHDRAWAL, "zone-" + zone);
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/Acceptance.java
@@ -0,0 +1,33 @@
+package org.parsleycart.daemon.operator;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.parsleycart.daemon.control.GossipDuty;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.platform.AcceptanceError;
+import org.parsleycart.platform.ConfigurationStore;
+
+/** Accepts changes and announces them to other daemons at once. */
+public final class Acceptance {
+  private final ConfigurationStore store;
+  private final GossipDuty gossip;
+
+  // -- construction
+
+  /** Creates the acceptance. */
+  public Acceptance(ConfigurationStore store, GossipDuty gossip) {
+    this.store = requireNonNull(store, "store is null");
+    this.gossip = requireNonNull(gossip, "gossip is null");
+  }
+
+  // -- operation
+
+  /** Accepts a change as {@link ConfigurationStore#accept} does, and spreads it. */
+  public Either<AcceptanceError, Long> accept(ConfigurationChange change, Optional<Long> basedOn) {
+    return store
+        .accept(change, basedOn)
+        .peek(version -> gossip.submit((protocol, pulls) -> protocol.announce()));
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ConfigurationActions.java
@@ -0,0 +1,181 @@
+package org.parsleycart.daemon.operator;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.util.StatusCodes;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.daemon.control.PlatformDuty;
+import org.parsleycart.daemon.control.ZoneCapacity;
+import org.parsleycart.daemon.control.ZoneChanges;
+import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.model.Configuration;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.Problem;
+import org.parsleycart.model.document.YamlDocuments;
+import org.parsleycart.platform.AcceptanceError;
+
+/** The actions on the configuration and on availability zones. */
+public final class ConfigurationActions {
+  private static final String ANONYMOUS = "operator";
+
+  private final MeshState state;
+  private final Acceptance acceptance;
+  private final PlatformDuty platform;
+  private final ZoneCapacity capacity;
+
+  // -- construction
+
+  /** Creates the actions. */
+  public ConfigurationActions(
+      MeshState state, Acceptance acceptance, PlatformDuty platform, ZoneCapacity capacity) {
+    this.state = requireNonNull(state, "state is null");
+    this.acceptance = requireNonNull(acceptance, "acceptance is null");
+    this.platform = requireNonNull(platform, "platform is null");
+    this.capacity = requireNonNull(capacity, "capacity is null");
+  }
+
+  // -- reading
+
+  OperatorAnswer read(OperatorRequest request) {
+    Document.Mapping document = state.configuration().toDocument();
+    return request.parameter("format").equals(Optional.of("yaml"))
+        ? OperatorAnswer.text(StatusCodes.OK, YamlDocuments.format(document))
+        : OperatorAnswer.of(document);
+  }
+
+  OperatorAnswer history(OperatorRequest request) {
+    List<Document.Mapping> changes =
+        state.log().recentChanges().stream()
+            .map(
+                each ->
+                    Document.mapping()
+                        .with("version", each.version())
+                        .with("acceptedAt", each.acceptedAt())
+                        .with("author", each.change().author())
+                        .with("change", each.change().identifier())
+                        .with("resources", each.change().touched().toString())
+                        .build())
+            .toList();
+    return OperatorAnswer.of(
+        Document.mapping().with("changes", Document.sequence(changes)).build());
+  }
+
+  // -- changing
+
+  OperatorAnswer validate(OperatorRequest request) {
+    Either<OperatorAnswer, ConfigurationChange> change = parse(request);
+    if (change.isLeft()) {
+      return change.getLeft();
+    }
+    return state
+        .configuration()
+        .apply(change.get())
+        .fold(
+            violations -> OperatorAnswer.refused(new AcceptanceError.Invalid(violations)),
+            next -> OperatorAnswer.of(Document.mapping().with("valid", true).build()));
+  }
+
+  OperatorAnswer accept(OperatorRequest request) {
+    return parse(request)
+        .fold(refusal -> refusal, change -> accept(change, request.number("basedOn")));
+  }
+
+  private OperatorAnswer accept(ConfigurationChange change, Optional<Long> basedOn) {
+    return acceptance.accept(change, basedOn).fold(OperatorAnswer::refused, this::accepted);
+  }
+
+  private OperatorAnswer accepted(long version) {
+    return OperatorAnswer.of(Document.mapping().with("version", version).build());
+  }
+
+  private static Either<OperatorAnswer, ConfigurationChange> parse(OperatorRequest request) {
+    String source = request.parameter("source").orElse("body");
+    String identifier = identifier(request);
+    String author = request.parameter("author").orElse(ANONYMOUS);
+    return YamlDocuments.parse(source, request.body())
+        .flatMap(document -> ConfigurationChange.from(document, identifier, author))
+        .mapLeft(ConfigurationActions::malformed);
+  }
+
+  static OperatorAnswer malformed(List<Problem> problems) {
+    return OperatorAnswer.refused(
+        StatusCodes.BAD_REQUEST,
+        problems.size() + " problems",
+        problems.stream().map(Problem::toString).toList());
+  }
+
+  private static String identifier(OperatorRequest request) {
+    return request.parameter("change").orElseGet(() -> UUID.randomUUID().toString());
+  }
+
+  // -- availability zones
+
+  OperatorAnswer withdraw(OperatorRequest request) {
+    String zone = request.segment(1);
+    Configuration configuration = state.configuration();
+    boolean exists = configuration.zones().stream().anyMatch(each -> each.name().equals(zone));
+    if (!exists) {
+      return OperatorAnswer.refused(
+          StatusCodes.NOT_FOUND, "no availability zone " + zone, List.of());
+    }
+    ZoneCapacity.Forecast forecast = capacity.without(zone);
+    boolean forced = request.parameter("force").equals(Optional.of("true"));
+    if (!forecast.isSufficient() && !forced) {
+      return OperatorAnswer.refused(
+          StatusCodes.CONFLICT,
+          "the other zones cannot bear the load; repeat with force to withdraw all the same",
+          forecast.shortfalls());
+    }
+    return change(request, zone, true);
+  }
+
+  OperatorAnswer giveBack(OperatorRequest request) {
+    return change(request, request.segment(1), false);
+  }
+
+  private OperatorAnswer change(OperatorRequest request, String zone, boolean withdraw) {
+    if (state.facts().isWithdrawn(state.configuration(), zone) == withdraw) {
+      return accepted(state.configuration().version());
+    }
+    String author = request.parameter("author").orElse(ANONYMOUS);
+    Optional<ConfigurationChange> change =
+        ZoneChanges.change(state.configuration(), zone, withdraw, identifier(request), author);
+    if (change.isEmpty()) {
+      return withoutOwnWithdrawal(zone, author);
+    }
+    Either<AcceptanceError, Long> result = acceptance.accept(change.get(), Optional.empty());
+    boolean platformSilent =
+        result.isLeft()
+            && (result.getLeft() instanceof AcceptanceError.Unavailable
+                || result.getLeft() instanceof AcceptanceError.Unknown);
+    return platformSilent
+        ? provisional(zone, withdraw, author)
+        : result.fold(OperatorAnswer::refused, this::accepted);
+  }
+
+  /** Returns a zone that is withdrawn by an urgent fact, or by a withdrawal with other labels. */
+  private OperatorAnswer withoutOwnWithdrawal(String zone, String author) {
+    if (state.configuration().isWithdrawn(zone)) {
+      String message = "zone " + zone + " is withdrawn by a selector; remove that withdrawal";
+      return OperatorAnswer.refused(StatusCodes.CONFLICT, message, List.of());
+    }
+    return provisional(zone, false, author);
+  }
+
+  /** Takes effect at once by gossip; the platform gets it when it answers again. */
+  private OperatorAnswer provisional(String zone, boolean withdraw, String author) {
+    String reason = (withdraw ? "withdrawn by " : "returned by ") + author;
+    UrgentFact fact = state.facts().decideZone(state.configuration(), zone, withdraw, reason);
+    platform.announce(fact);
+    return OperatorAnswer.of(
+        Document.mapping()
+            .with("version", state.configuration().version())
+            .with("provisional", true)
+            .build());
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
@@ -0,0 +1,127 @@
+package org.parsleycart.daemon.operator;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Finds the action for a request by its method and path and writes its answer. */
+public final class OperatorHandler implements HttpHandler {
+  private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
+  private static final String ANY = "*";
+
+  private final List<Action> actions;
+
+  /** What to do for requests of one method and path; {@code *} stands for any segment. */
+  private record Action(
+      String method, List<String> path, Function<OperatorRequest, OperatorAnswer> action) {
+
+    boolean fits(String actualMethod, List<String> actualPath) {
+      return method.equals(actualMethod) && path.size() == actualPath.size() && matches(actualPath);
+    }
+
+    private boolean matches(List<String> actualPath) {
+      for (int index = 0; index < path.size(); index++) {
+        if (!path.get(index).equals(ANY) && !path.get(index).equals(actualPath.get(index))) {
+          return false;
+        }
+      }
+      return true;
+    }
+  }
+
+  // -- construction
+
+  /** Creates the handler. */
+  public OperatorHandler(
+      ConfigurationActions configuration,
+      RolloutActions rollouts,
+      StatusActions status,
+      UpstreamActions upstreams) {
+    requireNonNull(configuration, "configuration is null");
+    this.actions =
+        List.of(
+            action("GET /healthz", request -> OperatorAnswer.text(StatusCodes.OK, "alive\n")),
+            action("GET /readyz", status::readiness),
+            action("GET /metrics", status::metrics),
+            action("GET /status", status::status),
+            action("GET /events", status::events),
+            action("GET /in-force", status::inForce),
+            action("GET /configuration", configuration::read),
+            action("GET /history", configuration::history),
+            action("POST /changes", configuration::accept),
+            action("POST /validate", configuration::validate),
+            action("POST /zones/*/withdraw", configuration::withdraw),
+            action("POST /zones/*/return", configuration::giveBack),
+            action("POST /rollouts", rollouts::start),
+            action("GET /rollouts/*", rollouts::read),
+            action("POST /rollouts/*/abort", rollouts::abort),
+            action("PUT /upstreams/*", upstreams::announce),
+            action("POST /upstreams/*/drain", upstreams::drain),
+            action("DELETE /upstreams/*", upstreams::leave));
+  }
+
+  private static Action action(
+      String methodAndPath, Function<OperatorRequest, OperatorAnswer> action) {
+    int space = methodAndPath.indexOf(' ');
+    return new Action(
+        methodAndPath.substring(0, space), segments(methodAndPath.substring(space + 1)), action);
+  }
+
+  private static List<String> segments(String path) {
+    return Arrays.stream(path.split("/", -1)).filter(segment -> !segment.isEmpty()).toList();
+  }
+
+  // -- HttpHandler
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    exchange.dispatch(() -> answer(exchange));
+  }
+
+  private void answer(HttpServerExchange exchange) {
+    OperatorAnswer answer = answerTo(exchange);
+    exchange.setStatusCode(answer.status());
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, answer.contentType());
+    exchange.getResponseSender().send(answer.body());
+  }
+
+  private OperatorAnswer answerTo(HttpServerExchange exchange) {
+    List<String> path = segments(exchange.getRequestPath());
+    String method = exchange.getRequestMethod().toString();
+    Optional<Action> action = actions.stream().filter(each -> each.fits(method, path)).findFirst();
+    if (action.isEmpty()) {
+      String message = "no such action: " + method + " " + exchange.getRequestPath();
+      return OperatorAnswer.refused(StatusCodes.NOT_FOUND, message, List.of());
+    }
+    exchange.startBlocking();
+    try (InputStream input = exchange.getInputStream()) {
+      byte[] body = input.readNBytes(MAXIMUM_BODY_BYTES + 1);
+      if (body.length > MAXIMUM_BODY_BYTES) {
+        String message = "a body above " + MAXIMUM_BODY_BYTES + " bytes";
+        return OperatorAnswer.refused(StatusCodes.REQUEST_ENTITY_TOO_LARGE, message, List.of());
+      }
+      String text = new String(body, StandardCharsets.UTF_8);
+      return action.get().action().apply(new OperatorRequest(method, path, query(exchange), text));
+    } catch (IOException e) {
+      return OperatorAnswer.refused(StatusCodes.BAD_REQUEST, "the body broke off", List.of());
+    }
+  }
+
+  private static Map<String, String> query(HttpServerExchange exchange) {
+    Map<String, String> query = new HashMap<>();
+    exchange.getQueryParameters().forEach((name, values) -> query.put(name, values.getFirst()));
+    return query;
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/RolloutActions.java
@@ -0,0 +1,93 @@
+package org.parsleycart.daemon.operator;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.util.StatusCodes;
+import io.vavr.control.Either;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.ResourceKind;
+import org.parsleycart.model.Rollout;
+import org.parsleycart.model.RolloutPhase;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.Problem;
+import org.parsleycart.model.document.YamlDocuments;
+import org.parsleycart.platform.AcceptanceError;
+
+/** The actions on rollouts. */
+public final class RolloutActions {
+  private final MeshState state;
+  private final Acceptance acceptance;
+  private final InstantSource clock;
+
+  // -- construction
+
+  /** Creates the actions. */
+  public RolloutActions(MeshState state, Acceptance acceptance, InstantSource clock) {
+    this.state = requireNonNull(state, "state is null");
+    this.acceptance = requireNonNull(acceptance, "acceptance is null");
+    this.clock = requireNonNull(clock, "clock is null");
+  }
+
+  // -- actions
+
+  OperatorAnswer start(OperatorRequest request) {
+    return parse(request)
+        .fold(
+            ConfigurationActions::malformed,
+            rollout -> accept(request, rollout.withStart(clock.millis())));
+  }
+
+  private static Either<List<Problem>, Rollout> parse(OperatorRequest request) {
+    List<Problem> problems = new ArrayList<>();
+    String source = request.parameter("source").orElse("body");
+    return YamlDocuments.parse(source, request.body())
+        .flatMap(
+            document -> {
+              Rollout rollout = (Rollout) ResourceKind.ROLLOUT.read(document, problems);
+              return problems.isEmpty() ? Either.right(rollout) : Either.left(problems);
+            });
+  }
+
+  OperatorAnswer read(OperatorRequest request) {
+    return state
+        .configuration()
+        .rollout(request.segment(1))
+        .map(rollout -> OperatorAnswer.of(rollout.toDocument()))
+        .orElseGet(() -> unknown(request));
+  }
+
+  OperatorAnswer abort(OperatorRequest request) {
+    Optional<Rollout> rollout = state.configuration().rollout(request.segment(1));
+    if (rollout.isEmpty()) {
+      return unknown(request);
+    }
+    if (!rollout.get().phase().isActive()) {
+      String message = "rollout " + rollout.get().name() + " is " + rollout.get().phase();
+      return OperatorAnswer.refused(StatusCodes.CONFLICT, message, List.of());
+    }
+    String reason = "aborted by " + request.parameter("author").orElse("operator");
+    return accept(request, rollout.get().withPhase(RolloutPhase.ABORTED, reason));
+  }
+
+  private OperatorAnswer accept(OperatorRequest request, Rollout rollout) {
+    String identifier = request.parameter("change").orElseGet(() -> UUID.randomUUID().toString());
+    String author = request.parameter("author").orElse("operator");
+    ConfigurationChange change =
+        new ConfigurationChange(identifier, author, List.of(rollout), List.of());
+    Either<AcceptanceError, Long> result = acceptance.accept(change, Optional.empty());
+    return result.fold(
+        OperatorAnswer::refused,
+        version -> OperatorAnswer.of(Document.mapping().with("version", version).build()));
+  }
+
+  private static OperatorAnswer unknown(OperatorRequest request) {
+    return OperatorAnswer.refused(
+        StatusCodes.NOT_FOUND, "no rollout " + request.segment(1), List.of());
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/StatusActions.java
@@ -0,0 +1,175 @@
+package org.parsleycart.daemon.operator;
+
+import static java.util.Objects.requireNonNull;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.undertow.util.StatusCodes;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.daemon.call.LocalUpstreams;
+import org.parsleycart.daemon.control.GossipDuty;
+import org.parsleycart.daemon.control.InForceSurvey;
+import org.parsleycart.daemon.control.MembershipView;
+import org.parsleycart.daemon.control.PlatformDuty;
+import org.parsleycart.daemon.report.EventBook;
+import org.parsleycart.decision.message.ControlMessage.InForceAnswer;
+import org.parsleycart.decision.message.ControlMessage.InForceRequest;
+import org.parsleycart.decision.routing.Candidate;
+import org.parsleycart.model.document.Document;
+
+/** The actions that tell how the mesh is. */
+public final class StatusActions {
+  private static final long DEFAULT_TIMEOUT_MILLISECONDS = 2000;
+
+  private final MeshState state;
+  private final GossipDuty gossip;
+  private final PlatformDuty platform;
+  private final InForceSurvey survey;
+  private final LocalUpstreams upstreams;
+  private final EventBook events;
+  private final PrometheusMeterRegistry registry;
+
+  // -- construction
+
+  /** Creates the actions. */
+  public StatusActions(
+      MeshState state,
+      GossipDuty gossip,
+      PlatformDuty platform,
+      InForceSurvey survey,
+      LocalUpstreams upstreams,
+      EventBook events,
+      PrometheusMeterRegistry registry) {
+    this.state = requireNonNull(state, "state is null");
+    this.gossip = requireNonNull(gossip, "gossip is null");
+    this.platform = requireNonNull(platform, "platform is null");
+    this.survey = requireNonNull(survey, "survey is null");
+    this.upstreams = requireNonNull(upstreams, "upstreams is null");
+    this.events = requireNonNull(events, "events is null");
+    this.registry = requireNonNull(registry, "registry is null");
+  }
+
+  // -- actions
+
+  OperatorAnswer readiness(OperatorRequest request) {
+    return state.isReady()
+        ? OperatorAnswer.text(StatusCodes.OK, "ready\n")
+        : OperatorAnswer.text(StatusCodes.SERVICE_UNAVAILABLE, "not ready\n");
+  }
+
+  OperatorAnswer metrics(OperatorRequest request) {
+    return OperatorAnswer.text(StatusCodes.OK, registry.scrape());
+  }
+
+  OperatorAnswer events(OperatorRequest request) {
+    long after = request.number("after").orElse(0L);
+    long wait = request.number("wait").orElse(0L);
+    return OperatorAnswer.of(events.after(after, wait));
+  }
+
+  OperatorAnswer inForce(OperatorRequest request) {
+    long version = request.number("version").orElse(state.configuration().version());
+    long timeout = request.number("timeout").orElse(DEFAULT_TIMEOUT_MILLISECONDS);
+    InForceAnswer answer =
+        survey.answer(new InForceRequest(version, gossip.view().others(), timeout));
+    return OperatorAnswer.of(
+        Document.mapping()
+            .with("version", version)
+            .with("inForce", answer.inForce())
+            .with("lagging", answer.lagging())
+            .with("silent", answer.silent())
+            .with("named", Document.texts(answer.named()))
+            .build());
+  }
+
+  OperatorAnswer status(OperatorRequest request) {
+    MembershipView view = gossip.view();
+    return OperatorAnswer.of(
+        Document.mapping()
+            .with("daemon", view.self().identifier())
+            .with("zone", state.zone())
+            .with("version", state.configuration().version())
+            .with("digest", state.log().head().digest())
+            .with("ready", state.isReady())
+            .with("isolated", state.isIsolated())
+            .with("platformReachable", platform.isPlatformReachable())
+            .with("members", memberCounts(view))
+            .with("zones", zones())
+            .with("services", services())
+            .with("upstreams", upstreams())
+            .build());
+  }
+
+  private static Document.Mapping memberCounts(MembershipView view) {
+    Map<String, Long> counts =
+        view.records().stream()
+            .collect(
+                Collectors.groupingBy(
+                    record -> record.status().toString(), TreeMap::new, Collectors.counting()));
+    Document.MappingBuilder builder = Document.mapping();
+    counts.forEach(builder::with);
+    return builder.build();
+  }
+
+  private Document.Sequence zones() {
+    List<Document.Mapping> zones =
+        state.configuration().zones().stream()
+            .map(
+                zone ->
+                    Document.mapping()
+                        .with("name", zone.name())
+                        .with(
+                            "withdrawn",
+                            state.facts().isWithdrawn(state.configuration(), zone.name()))
+                        .build())
+            .toList();
+    return Document.sequence(zones);
+  }
+
+  private Document.Sequence services() {
+    Map<String, Long> counts =
+        state
+            .directory()
+            .all()
+            .collect(
+                Collectors.groupingBy(
+                    StatusActions::versionAndZone, TreeMap::new, Collectors.counting()));
+    return Document.sequence(
+        counts.entrySet().stream()
+            .map(
+                entry ->
+                    Document.mapping()
+                        .with("service", entry.getKey())
+                        .with("upstreams", entry.getValue())
+                        .build())
+            .toList());
+  }
+
+  private static String versionAndZone(Candidate candidate) {
+    return candidate.upstream().service()
+        + " "
+        + candidate.upstream().version()
+        + " "
+        + candidate.zone();
+  }
+
+  private Document.Sequence upstreams() {
+    return Document.sequence(
+        upstreams.view().stream()
+            .map(
+                each ->
+                    Document.mapping()
+                        .with("identifier", each.announced().identifier())
+                        .with("service", each.announced().service())
+                        .with("version", each.announced().version())
+                        .with("address", each.address())
+                        .with("draining", each.announced().draining())
+                        .with("load", each.load().toString())
+                        .with("coldReturns", each.coldReturns())
+                        .build())
+            .toList());
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/UpstreamActions.java
@@ -0,0 +1,92 @@
+package org.parsleycart.daemon.operator;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.util.StatusCodes;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.parsleycart.daemon.call.LocalUpstreams;
+import org.parsleycart.decision.membership.AnnouncedUpstream;
+import org.parsleycart.link.Addresses;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.model.document.Problem;
+import org.parsleycart.model.document.YamlDocuments;
+
+/** The actions of upstreams: announce and renew, drain, leave. */
+public final class UpstreamActions {
+  private static final Duration DEFAULT_RENEW_WITHIN = Duration.ofSeconds(3);
+
+  private final LocalUpstreams upstreams;
+
+  /** An announcement as the upstream sends it. */
+  private record Announcement(AnnouncedUpstream upstream, String address, Duration renewWithin) {}
+
+  // -- construction
+
+  /** Creates the actions. */
+  public UpstreamActions(LocalUpstreams upstreams) {
+    this.upstreams = requireNonNull(upstreams, "upstreams is null");
+  }
+
+  // -- actions
+
+  OperatorAnswer announce(OperatorRequest request) {
+    return parse(request)
+        .fold(
+            ConfigurationActions::malformed,
+            announcement -> {
+              upstreams.announce(
+                  announcement.upstream(), announcement.address(), announcement.renewWithin());
+              long renewWithin = announcement.renewWithin().toMillis();
+              return OperatorAnswer.of(
+                  Document.mapping().with("renewWithinMilliseconds", renewWithin).build());
+            });
+  }
+
+  private static Either<List<Problem>, Announcement> parse(OperatorRequest request) {
+    List<Problem> problems = new ArrayList<>();
+    return YamlDocuments.parse("announcement", request.body())
+        .flatMap(
+            document -> {
+              Announcement announcement =
+                  read(request.segment(1), MappingReader.of(document, problems));
+              return problems.isEmpty() ? Either.right(announcement) : Either.left(problems);
+            });
+  }
+
+  private static Announcement read(String identifier, MappingReader reader) {
+    AnnouncedUpstream upstream =
+        new AnnouncedUpstream(
+            identifier,
+            reader.requiredName("service"),
+            reader.requiredName("version"),
+            (int) reader.requiredNumber("slots", 1, AnnouncedUpstream.MAXIMUM_SLOTS),
+            false);
+    String address = reader.requiredText("address");
+    if (reader.has("address") && Addresses.parse(address).isEmpty()) {
+      reader.report("address", "\"" + address + "\"", "an IP number and port");
+    }
+    Optional<Duration> renewWithin = reader.duration("renewWithin");
+    reader.finish();
+    return new Announcement(upstream, address, renewWithin.orElse(DEFAULT_RENEW_WITHIN));
+  }
+
+  OperatorAnswer drain(OperatorRequest request) {
+    return found(request, upstreams.drain(request.segment(1)), "draining");
+  }
+
+  OperatorAnswer leave(OperatorRequest request) {
+    return found(request, upstreams.leave(request.segment(1)), "left");
+  }
+
+  private static OperatorAnswer found(OperatorRequest request, boolean known, String result) {
+    return known
+        ? OperatorAnswer.of(Document.mapping().with("upstream", result).build())
+        : OperatorAnswer.refused(
+            StatusCodes.NOT_FOUND, "no upstream " + request.segment(1) + " here", List.of());
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallMetrics.java
@@ -0,0 +1,83 @@
+package org.parsleycart.daemon.report;
+
+import static java.util.Objects.requireNonNull;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import org.parsleycart.decision.Outcome;
+import org.parsleycart.decision.admission.RefusalReason;
+
+/** The counters of calls. */
+public final class CallMetrics {
+  private final Map<Outcome, Timer> calls = new EnumMap<>(Outcome.class);
+  private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
+  private final Counter retries;
+  private final Counter localHops;
+  private final Counter coldReturns;
+
+  // -- construction
+
+  /** Registers the counters. */
+  public CallMetrics(MeterRegistry registry) {
+    requireNonNull(registry, "registry is null");
+    for (Outcome outcome : Outcome.values()) {
+      calls.put(
+          outcome,
+          Timer.builder("parsleycart.calls")
+              .description("Calls taken from callers, by outcome")
+              .tag("outcome", outcome.toString())
+              .register(registry));
+    }
+    for (RefusalReason reason : RefusalReason.values()) {
+      refusals.put(
+          reason,
+          Counter.builder("parsleycart.refusals")
+              .description("Calls refused beside an upstream or at the entry, by reason")
+              .tag("reason", reason.toString())
+              .register(registry));
+    }
+    retries =
+        Counter.builder("parsleycart.retries")
+            .description("Attempts after the first")
+            .register(registry);
+    localHops =
+        Counter.builder("parsleycart.local.hops")
+            .description("Attempts to an upstream beside the entry")
+            .register(registry);
+    coldReturns =
+        Counter.builder("parsleycart.cold.returns")
+            .description("Times that an upstream fell back to cold")
+            .register(registry);
+  }
+
+  // -- events
+
+  /** Counts a call that has ended. */
+  public void ended(Outcome outcome, Duration duration) {
+    calls.get(outcome).record(duration);
+  }
+
+  /** Counts a refusal. */
+  public void refused(RefusalReason reason) {
+    refusals.get(reason).increment();
+  }
+
+  /** Counts an attempt after the first. */
+  public void retried() {
+    retries.increment();
+  }
+
+  /** Counts an attempt that needs no second hop. */
+  public void servedLocally() {
+    localHops.increment();
+  }
+
+  /** Counts a fall back to cold. */
+  public void returnedToCold() {
+    coldReturns.increment();
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallTracing.java
@@ -0,0 +1,120 @@
+package org.parsleycart.daemon.report;
+
+import static java.util.Objects.requireNonNull;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.api.trace.StatusCode;
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator;
+import io.opentelemetry.context.Context;
+import io.opentelemetry.context.propagation.TextMapGetter;
+import io.opentelemetry.context.propagation.TextMapPropagator;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.samplers.Sampler;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.parsleycart.daemon.settings.TraceSettings;
+import org.parsleycart.decision.Outcome;
+
+/** Starts a span for each hop of a call and carries the trace on by W3C trace context. */
+public final class CallTracing implements AutoCloseable {
+  private static final String TRACE_PARENT = "traceparent";
+  private static final double PER_MILLE = 1000.0;
+  private static final TextMapPropagator PROPAGATOR = W3CTraceContextPropagator.getInstance();
+  private static final TextMapGetter<String> TRACE_PARENT_GETTER = new TraceParentGetter();
+
+  private final SdkTracerProvider provider;
+  private final Tracer tracer;
+
+  // -- construction
+
+  private CallTracing(SdkTracerProvider provider) {
+    this.provider = provider;
+    this.tracer = provider.get("parsleycart");
+  }
+
+  /** Starts tracing; spans go to the writer when there is one. */
+  public static CallTracing start(TraceSettings settings, Optional<SpanWriter> writer) {
+    requireNonNull(settings, "settings is null");
+    double share = writer.isPresent() ? settings.samplePerMille() / PER_MILLE : 0;
+    Sampler sampler = Sampler.parentBased(Sampler.traceIdRatioBased(share));
+    var builder = SdkTracerProvider.builder().setSampler(sampler);
+    writer.ifPresent(builder::addSpanProcessor);
+    return new CallTracing(builder.build());
+  }
+
+  // -- operations
+
+  /**
+   * Starts the span of a hop.
+   *
+   * @param name the name of the span
+   * @param kind the side of the hop
+   * @param traceParent the trace context received, if any
+   */
+  public CallSpan startSpan(String name, SpanKind kind, Optional<String> traceParent) {
+    Context parent =
+        traceParent
+            .map(text -> PROPAGATOR.extract(Context.root(), text, TRACE_PARENT_GETTER))
+            .orElse(Context.root());
+    Span span = tracer.spanBuilder(name).setSpanKind(kind).setParent(parent).startSpan();
+    return new CallSpan(span);
+  }
+
+  @Override
+  public void close() {
+    provider.close();
+  }
+
+  /** The span of one hop. */
+  public static final class CallSpan {
+    private final Span span;
+
+    private CallSpan(Span span) {
+      this.span = span;
+    }
+
+    /** Returns the trace context for the next hop. */
+    public String traceParent() {
+      AtomicReference<String> carrier = new AtomicReference<>("");
+      PROPAGATOR.inject(
+          Context.root().with(span),
+          carrier,
+          (reference, key, value) -> {
+            if (key.equals(TRACE_PARENT)) {
+              reference.set(value);
+            }
+          });
+      return carrier.get();
+    }
+
+    /** Adds an attribute. */
+    public CallSpan with(String key, String value) {
+      span.setAttribute(key, value);
+      return this;
+    }
+
+    /** Ends the span. */
+    public void end(Outcome outcome) {
+      span.setAttribute("parsleycart.outcome", outcome.toString());
+      if (outcome != Outcome.ANSWERED) {
+        span.setStatus(StatusCode.ERROR);
+      }
+      span.end();
+    }
+  }
+
+  private static final class TraceParentGetter implements TextMapGetter<String> {
+    @Override
+    public Iterable<String> keys(String carrier) {
+      return List.of(TRACE_PARENT);
+    }
+
+    @Override
+    public String get(String carrier, String key) {
+      return key.equals(TRACE_PARENT) ? carrier : null;
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/DaemonMetrics.java
@@ -0,0 +1,48 @@
+package org.parsleycart.daemon.report;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.function.ToDoubleFunction;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.daemon.call.CallsInProgress;
+import org.parsleycart.daemon.call.LocalUpstreams;
+import org.parsleycart.daemon.control.GossipDuty;
+import org.parsleycart.link.LinkCounters;
+
+/** Registers the gauges and counters of the duties. */
+public final class DaemonMetrics {
+  private DaemonMetrics() {}
+
+  /** Registers all of them. */
+  public static void register(
+      MeterRegistry registry,
+      MeshState state,
+      LinkCounters counters,
+      GossipDuty gossip,
+      LocalUpstreams upstreams,
+      CallsInProgress calls) {
+    gauge(registry, "configuration.version", state, each -> each.configuration().version());
+    gauge(registry, "ready", state, each -> each.isReady() ? 1 : 0);
+    gauge(registry, "isolated", state, each -> each.isIsolated() ? 1 : 0);
+    gauge(registry, "members", gossip, each -> each.view().size());
+    gauge(registry, "upstreams.beside", upstreams, each -> each.announced().size());
+    gauge(registry, "calls.in.progress", calls, CallsInProgress::count);
+    counter(registry, "control.sent.bytes", counters, LinkCounters::sentBytes);
+    counter(registry, "control.sent.messages", counters, LinkCounters::sentMessages);
+    counter(registry, "control.received.bytes", counters, LinkCounters::receivedBytes);
+    counter(registry, "control.received.messages", counters, LinkCounters::receivedMessages);
+    counter(registry, "control.rejected.messages", counters, LinkCounters::rejectedMessages);
+    counter(registry, "gossip.dropped.commands", gossip, GossipDuty::droppedCommands);
+  }
+
+  private static <T> void gauge(
+      MeterRegistry registry, String name, T source, ToDoubleFunction<T> value) {
+    Gauge.builder("parsleycart." + name, source, value).strongReference(true).register(registry);
+  }
+
+  private static <T> void counter(
+      MeterRegistry registry, String name, T source, ToDoubleFunction<T> value) {
+    FunctionCounter.builder("parsleycart." + name, source, value).register(registry);
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/package-info.java
@@ -0,0 +1,2 @@
+/** What a daemon tells of itself: counters, spans and events. */
+package org.parsleycart.daemon.report;
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
@@ -0,0 +1,136 @@
+package org.parsleycart.daemon.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.parsleycart.link.Addresses;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.model.document.Problem;
+import org.parsleycart.model.document.YamlDocuments;
+
+/**
+ * Everything that a daemon is told at its start.
+ *
+ * @param zone the availability zone
+ * @param labels the labels that routes select daemons by
+ * @param addresses where it listens
+ * @param platform the platform's address, or empty for the embedded platform
+ * @param platformTimeout bounds each request to the platform
+ * @param peerKeys the keys shared with other daemons, the signing one first
+ * @param seeds control addresses tried first for peers
+ * @param limits bounds of work and memory
+ * @param traces the export of spans
+ */
+public record DaemonSettings(
+    String zone,
+    Map<String, String> labels,
+    ListenAddresses addresses,
+    Optional<String> platform,
+    Duration platformTimeout,
+    List<String> peerKeys,
+    List<String> seeds,
+    DaemonLimits limits,
+    TraceSettings traces) {
+  private static final String EMBEDDED = "embedded";
+  private static final Duration DEFAULT_PLATFORM_TIMEOUT = Duration.ofSeconds(1);
+  private static final int SHORTEST_KEY = 16;
+  private static final int MOST_KEYS = 2;
+
+  // -- construction
+
+  public DaemonSettings {
+    requireNonNull(zone, "zone is null");
+    labels = Map.copyOf(labels);
+    requireNonNull(addresses, "addresses is null");
+    requireNonNull(platform, "platform is null");
+    requireNonNull(platformTimeout, "platformTimeout is null");
+    peerKeys = List.copyOf(peerKeys);
+    seeds = List.copyOf(seeds);
+    requireNonNull(limits, "limits is null");
+    requireNonNull(traces, "traces is null");
+  }
+
+  /**
+   * Reads settings.
+   *
+   * @param source the name of the file, for messages
+   * @param text the YAML text
+   * @return the settings, or every fault with its place
+   */
+  public static Either<List<Problem>, DaemonSettings> parse(String source, String text) {
+    return YamlDocuments.parse(source, text).flatMap(DaemonSettings::from);
+  }
+
+  private static Either<List<Problem>, DaemonSettings> from(Document document) {
+    List<Problem> problems = new ArrayList<>();
+    MappingReader reader = MappingReader.of(document, problems);
+    DaemonSettings settings =
+        new DaemonSettings(
+            reader.requiredName("zone"),
+            reader.texts("labels"),
+            ListenAddresses.from(section(reader, "addresses", problems)),
+            platformFrom(reader),
+            reader.duration("platformTimeout").orElse(DEFAULT_PLATFORM_TIMEOUT),
+            keysFrom(reader),
+            seedsFrom(reader),
+            DaemonLimits.from(section(reader, "limits", problems)),
+            TraceSettings.from(section(reader, "traces", problems)));
+    reader.finish();
+    return problems.isEmpty() ? Either.right(settings) : Either.left(problems);
+  }
+
+  private static MappingReader section(MappingReader reader, String key, List<Problem> problems) {
+    Document.Mapping absent = new Document.Mapping(reader.place().child(key, 0), Map.of());
+    return reader.nested(key).orElseGet(() -> MappingReader.of(absent, problems));
+  }
+
+  private static Optional<String> platformFrom(MappingReader reader) {
+    String text = reader.requiredText("platform");
+    if (text.equals(EMBEDDED)) {
+      return Optional.empty();
+    }
+    if (reader.has("platform") && Addresses.parse(text).isEmpty()) {
+      reader.report("platform", "\"" + text + "\"", "\"embedded\" or an IP number and port");
+    }
+    return Optional.of(text);
+  }
+
+  private static List<String> keysFrom(MappingReader reader) {
+    List<String> keys = reader.textItems("peerKeys");
+    boolean longEnough = keys.stream().allMatch(key -> key.length() >= SHORTEST_KEY);
+    if (keys.isEmpty() || keys.size() > MOST_KEYS || !longEnough) {
+      reader.report(
+          "peerKeys",
+          keys.size() + " keys",
+          "one key, or the new and the old one, of at least " + SHORTEST_KEY + " characters");
+    }
+    return keys;
+  }
+
+  private static List<String> seedsFrom(MappingReader reader) {
+    List<String> seeds = reader.textItems("seeds");
+    seeds.stream()
+        .filter(seed -> Addresses.parse(seed).isEmpty())
+        .forEach(seed -> reader.report("seeds", "\"" + seed + "\"", "IP numbers and ports"));
+    return seeds;
+  }
+
+  // -- queries
+
+  /** Returns the identifier of the daemon, its control address. */
+  public String identifier() {
+    return Addresses.format(addresses.control());
+  }
+
+  /** Returns the address at which other daemons send calls. */
+  public InetSocketAddress callAddress() {
+    return addresses.daemons();
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -0,0 +1,180 @@
+package org.parsleycart.decision.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+
+/**
+ * Admits calls to one upstream: runs as many at once as the concurrency limit allows, lets a
+ * bounded number wait by priority and deadline, and refuses the rest at once.
+ *
+ * <p>Safe for use by several threads.
+ *
+ * @param <C> the type of the caller's object
+ */
+public final class AdmissionControl<C> {
+  private final AdmissionSettings settings;
+  private final InstantSource clock;
+  private final ConcurrencyLimit limit;
+  private final PriorityQueue<WaitingCall<C>> queue = new PriorityQueue<>(WaitingCall.order());
+  private Optional<RefusalReason> closed = Optional.empty();
+  private int running;
+
+  // -- construction
+
+  /** Creates the admission of an upstream that has just started, with the given slots. */
+  public AdmissionControl(AdmissionSettings settings, int slots, InstantSource clock) {
+    this.settings = requireNonNull(settings, "settings is null");
+    this.clock = requireNonNull(clock, "clock is null");
+    this.limit = ConcurrencyLimit.of(slots, settings.coldLimit());
+  }
+
+  // -- events
+
+  /**
+   * Takes a call.
+   *
+   * @param call the call
+   * @return the call to start, or the call to refuse, or neither when it waits
+   */
+  public synchronized Admission<C> offer(WaitingCall<C> call) {
+    requireNonNull(call, "call is null");
+    if (closed.isPresent()) {
+      return Admission.ofRefusal(call, closed.get());
+    }
+    if (cannotMeetDeadline(call, clock.instant())) {
+      return Admission.ofRefusal(call, RefusalReason.DEADLINE);
+    }
+    List<Admission.Refused<C>> refused = new ArrayList<>();
+    queue.add(call);
+    List<WaitingCall<C>> started = startWaiting(refused);
+    if (queue.size() > settings.queueLength()) {
+      WaitingCall<C> last = queue.stream().max(WaitingCall.order()).orElseThrow();
+      queue.remove(last);
+      refused.add(new Admission.Refused<>(last, RefusalReason.QUEUE_FULL));
+    }
+    return new Admission<>(started, refused);
+  }
+
+  /**
+   * Takes note that a started call was answered whole.
+   *
+   * @param route the route of the call
+   * @param latency from start to whole answer
+   * @return the calls to start and to refuse now
+   */
+  public synchronized Admission<C> answered(String route, Duration latency) {
+    limit.answered(route, latency, running);
+    return release();
+  }
+
+  /** Takes note that a started call failed at the connection to the upstream. */
+  public synchronized Admission<C> failed() {
+    limit.failed();
+    return release();
+  }
+
+  /** Takes note that the upstream answered that it has too much to do. */
+  public synchronized Admission<C> shed() {
+    limit.shed();
+    return release();
+  }
+
+  /** Takes note that a started call ended without telling of the upstream, as by cancellation. */
+  public synchronized Admission<C> abandoned() {
+    return release();
+  }
+
+  /** Takes a call out of the queue; returns whether it was waiting. */
+  public synchronized boolean cancel(C call) {
+    return queue.removeIf(waiting -> waiting.call().equals(call));
+  }
+
+  /** Refuses the calls that have waited too long. */
+  public synchronized Admission<C> expire() {
+    List<Admission.Refused<C>> refused = new ArrayList<>();
+    Instant now = clock.instant();
+    queue.removeIf(
+        call -> {
+          boolean late = cannotMeetDeadline(call, now);
+          if (late) {
+            refused.add(new Admission.Refused<>(call, RefusalReason.DEADLINE));
+          }
+          return late;
+        });
+    return new Admission<>(List.of(), refused);
+  }
+
+  /** Refuses all new and waiting calls from now on; running calls go on. */
+  public synchronized Admission<C> close(RefusalReason reason) {
+    closed = Optional.of(reason);
+    List<Admission.Refused<C>> refused =
+        queue.stream().map(call -> new Admission.Refused<>(call, reason)).toList();
+    queue.clear();
+    return new Admission<>(List.of(), refused);
+  }
+
+  /** Takes calls again, starting cold. */
+  public synchronized void open() {
+    if (closed.isPresent()) {
+      closed = Optional.empty();
+      limit.restart();
+    }
+  }
+
+  private Admission<C> release() {
+    running--;
+    List<Admission.Refused<C>> refused = new ArrayList<>();
+    return new Admission<>(startWaiting(refused), refused);
+  }
+
+  private List<WaitingCall<C>> startWaiting(List<Admission.Refused<C>> refused) {
+    List<WaitingCall<C>> started = new ArrayList<>();
+    Instant now = clock.instant();
+    while (running < limit.current() && !queue.isEmpty()) {
+      WaitingCall<C> next = queue.poll();
+      if (cannotMeetDeadline(next, now)) {
+        refused.add(new Admission.Refused<>(next, RefusalReason.DEADLINE));
+      } else {
+        running++;
+        started.add(next);
+      }
+    }
+    return started;
+  }
+
+  private boolean cannotMeetDeadline(WaitingCall<C> call, Instant now) {
+    Duration usual = limit.usualLatency(call.route());
+    return now.plus(usual).isAfter(call.deadline());
+  }
+
+  // -- queries
+
+  /** Returns how many calls are running. */
+  public synchronized int running() {
+    return running;
+  }
+
+  /** Returns the load to report to entries. */
+  public synchronized LoadReport load() {
+    return new LoadReport(running + queue.size(), limit.current(), limit.condition());
+  }
+
+  /** Returns how often the upstream fell back to cold. */
+  public synchronized long coldReturns() {
+    return limit.coldReturns();
+  }
+
+  /** Returns the calls that wait, those to run first in front. */
+  synchronized List<WaitingCall<C>> waiting() {
+    Comparator<WaitingCall<C>> order = WaitingCall.order();
+    return queue.stream().sorted(order).toList();
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/LoadReport.java
@@ -0,0 +1,50 @@
+package org.parsleycart.decision.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * The load beside one upstream, as it rides on answers.
+ *
+ * @param busy calls running and waiting
+ * @param limit calls that may run at once
+ * @param condition the condition of the upstream
+ */
+public record LoadReport(int busy, int limit, UpstreamCondition condition) {
+  private static final Pattern FORM = Pattern.compile("([0-9]{1,6})/([0-9]{1,6}) ([a-z]+)");
+
+  // -- construction
+
+  public LoadReport {
+    requireNonNull(condition, "condition is null");
+  }
+
+  /** Parses the text form, such as {@code 3/20 warm}. */
+  public static Optional<LoadReport> parse(String text) {
+    requireNonNull(text, "text is null");
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      return Optional.empty();
+    }
+    return Stream.of(UpstreamCondition.values())
+        .filter(condition -> condition.toString().equals(matcher.group(3)))
+        .findFirst()
+        .map(
+            condition ->
+                new LoadReport(
+                    Integer.parseInt(matcher.group(1)),
+                    Math.max(1, Integer.parseInt(matcher.group(2))),
+                    condition));
+  }
+
+  // -- Object
+
+  @Override
+  public String toString() {
+    return busy + "/" + limit + " " + condition;
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -0,0 +1,43 @@
+package org.parsleycart.decision.admission;
+
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** Why a call was refused before any of it reached an upstream. */
+public enum RefusalReason {
+  NO_ROUTE("no-route", 404),
+  NO_UPSTREAM("no-upstream", 503),
+  UPSTREAM_GONE("upstream-gone", 503),
+  DRAINING("draining", 503),
+  ZONE_WITHDRAWN("zone-withdrawn", 503),
+  ISOLATED("isolated", 503),
+  QUEUE_FULL("queue-full", 503),
+  DEADLINE("deadline", 504),
+  NOT_READY("not-ready", 503),
+  UNREACHABLE("unreachable", 503),
+  BAD_REQUEST("bad-request", 400),
+  TOO_LARGE("too-large", 413);
+
+  private final String label;
+  private final int statusCode;
+
+  RefusalReason(String label, int statusCode) {
+    this.label = label;
+    this.statusCode = statusCode;
+  }
+
+  /** Returns the HTTP status code that tells a caller. */
+  public int statusCode() {
+    return statusCode;
+  }
+
+  /** Returns the reason with the given label; empty also for no label. */
+  public static Optional<RefusalReason> ofLabel(String label) {
+    return Stream.of(values()).filter(reason -> reason.label.equals(label)).findFirst();
+  }
+
+  @Override
+  public String toString() {
+    return label;
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/WaitingCall.java
@@ -0,0 +1,36 @@
+package org.parsleycart.decision.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Instant;
+import java.util.Comparator;
+import org.parsleycart.model.RequestKind;
+
+/**
+ * A call that asks to run at an upstream.
+ *
+ * @param call the caller's own object
+ * @param kind the kind of request
+ * @param route the name of the route
+ * @param deadline when an answer is of no use any more
+ * @param <C> the type of the caller's object
+ */
+public record WaitingCall<C>(C call, RequestKind kind, String route, Instant deadline) {
+
+  // -- construction
+
+  public WaitingCall {
+    requireNonNull(call, "call is null");
+    requireNonNull(kind, "kind is null");
+    requireNonNull(route, "route is null");
+    requireNonNull(deadline, "deadline is null");
+  }
+
+  // -- queries
+
+  /** Returns the order of the queue: by priority of the kind, then by deadline. */
+  static <C> Comparator<WaitingCall<C>> order() {
+    return Comparator.<WaitingCall<C>>comparingInt(each -> each.kind().priority())
+        .thenComparing(WaitingCall::deadline);
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DisseminationQueue.java
@@ -0,0 +1,63 @@
+package org.parsleycart.decision.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The identifiers of members whose records still have to be passed on, those sent least first.
+ *
+ * <p>Each record rides on a number of messages that grows with the logarithm of the fleet, which
+ * reaches all members with high probability; digest exchange repairs the rest.
+ */
+final class DisseminationQueue {
+  private static final int EXTRA_TRANSMISSIONS = 3;
+
+  private final Map<String, Integer> transmissions = new HashMap<>();
+
+  // -- updates
+
+  void add(String identifier) {
+    transmissions.put(identifier, 0);
+  }
+
+  /** Takes up to the given number of identifiers for one message to a fleet of the given size. */
+  List<String> take(int count, int fleetSize) {
+    if (transmissions.isEmpty()) {
+      return List.of();
+    }
+    int limit = transmissionLimit(fleetSize);
+    List<String> taken = leastSent(count);
+    taken.forEach(
+        identifier ->
+            transmissions.compute(
+                identifier,
+                (key, sent) -> Optional.of(sent + 1).filter(next -> next < limit).orElse(null)));
+    return taken;
+  }
+
+  private List<String> leastSent(int count) {
+    if (transmissions.size() <= count) {
+      return new ArrayList<>(transmissions.keySet());
+    }
+    return transmissions.entrySet().stream()
+        .sorted(Comparator.comparingInt(Map.Entry::getValue))
+        .limit(count)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  // -- queries
+
+  int size() {
+    return transmissions.size();
+  }
+
+  static int transmissionLimit(int fleetSize) {
+    int logarithm = Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, fleetSize));
+    return logarithm + EXTRA_TRANSMISSIONS;
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
@@ -0,0 +1,399 @@
+package org.parsleycart.decision.membership;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.parsleycart.decision.message.ControlMessage;
+import org.parsleycart.decision.message.ControlMessage.Acknowledgement;
+import org.parsleycart.decision.message.ControlMessage.Announcement;
+import org.parsleycart.decision.message.ControlMessage.IndirectProbe;
+import org.parsleycart.decision.message.ControlMessage.Probe;
+import org.parsleycart.decision.message.Gossip;
+import org.parsleycart.decision.message.Head;
+import org.parsleycart.decision.message.Outgoing;
+import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.spreading.PullPlanner;
+import org.parsleycart.decision.spreading.UrgentFacts;
+
+/**
+ * Probes members at random, suspects those that stay silent, and passes on records, heads and
+ * urgent facts with every datagram.
+ *
+ * <p>After SWIM (Das, Gupta, Motivala 2002) with the local health of Lifeguard (Dadgar, Phillips,
+ * Currey 2017): a process that was paused, or whose probes mostly fail, doubts itself first and
+ * gives others more time. Used by one thread.
+ */
+public final class GossipProtocol {
+  private static final int MAXIMUM_HEALTH_PENALTY = 8;
+  private static final int PAUSE_FACTOR = 4;
+
+  private final MembershipTable table;
+  private final GossipSettings settings;
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final Supplier<Head> head;
+  private final UrgentFacts urgentFacts;
+  private final PullPlanner pulls;
+  private final DisseminationQueue queue = new DisseminationQueue();
+  private final UrgentQueue urgentQueue = new UrgentQueue();
+  private final Map<Long, PendingProbe> pending = new HashMap<>();
+  private final Map<Long, IndirectOrigin> relayed = new HashMap<>();
+  private final Map<String, Instant> suspectedAt = new HashMap<>();
+  private long nextNumber;
+  private int healthPenalty;
+  private Instant nextProbe;
+  private Instant lastTick;
+  private Instant lastHeardOutsideZone;
+
+  private record PendingProbe(String target, Instant sentAt, boolean indirect) {}
+
+  private record IndirectOrigin(String origin, long originNumber, Instant at) {}
+
+  // -- construction
+
+  /**
+   * Creates the protocol of one daemon.
+   *
+   * @param table the members known
+   * @param settings the pace
+   * @param clock the time
+   * @param random the source of choices
+   * @param head gives the configuration version to announce
+   * @param urgentFacts the facts to pass on and to merge into
+   * @param pulls told of the heads of others
+   */
+  public GossipProtocol(
+      MembershipTable table,
+      GossipSettings settings,
+      InstantSource clock,
+      RandomGenerator random,
+      Supplier<Head> head,
+      UrgentFacts urgentFacts,
+      PullPlanner pulls) {
+    this.table = requireNonNull(table, "table is null");
+    this.settings = requireNonNull(settings, "settings is null");
+    this.clock = requireNonNull(clock, "clock is null");
+    this.random = requireNonNull(random, "random is null");
+    this.head = requireNonNull(head, "head is null");
+    this.urgentFacts = requireNonNull(urgentFacts, "urgentFacts is null");
+    this.pulls = requireNonNull(pulls, "pulls is null");
+    Instant now = clock.instant();
+    this.nextProbe = now.plus(jittered(settings.probeInterval()));
+    this.lastTick = now;
+    this.lastHeardOutsideZone = now;
+    queue.add(table.self().identifier());
+  }
+
+  // -- time
+
+  /** Sends what is due: probes, indirect probes, suspicions and deaths. */
+  public List<Outgoing> tick() {
+    Instant now = clock.instant();
+    if (lastTick.plus(settings.probeInterval().multipliedBy(PAUSE_FACTOR)).isBefore(now)) {
+      forgiveAfterPause(now);
+    }
+    lastTick = now;
+    List<Outgoing> outgoing = new ArrayList<>();
+    escalateProbes(now, outgoing);
+    declareDead(now);
+    if (!now.isBefore(nextProbe)) {
+      nextProbe = now.plus(jittered(settings.probeInterval()));
+      table.random(random).ifPresent(member -> probe(member.identifier(), now, outgoing));
+      table.removeTombstones(settings.tombstoneAge(), now);
+    }
+    return outgoing;
+  }
+
+  private void forgiveAfterPause(Instant now) {
+    pending.clear();
+    suspectedAt.replaceAll((member, since) -> now);
+    penalize(1);
+  }
+
+  private void probe(String target, Instant now, List<Outgoing> outgoing) {
+    long number = nextNumber++;
+    pending.put(number, new PendingProbe(target, now, false));
+    outgoing.add(new Outgoing(target, new Probe(gossip(), number, table.self().identifier())));
+  }
+
+  private void escalateProbes(Instant now, List<Outgoing> outgoing) {
+    Duration timeout = settings.probeTimeout().multipliedBy(1L + healthPenalty);
+    List<Long> overdue =
+        pending.entrySet().stream()
+            .filter(entry -> entry.getValue().sentAt().plus(timeout).isBefore(now))
+            .map(Map.Entry::getKey)
+            .toList();
+    for (Long number : overdue) {
+      PendingProbe probe = pending.remove(number);
+      if (probe.indirect()) {
+        suspect(probe.target(), now);
+      } else {
+        probeIndirectly(number, probe.target(), now, outgoing);
+      }
+    }
+  }
+
+  private void probeIndirectly(long number, String target, Instant now, List<Outgoing> outgoing) {
+    pending.put(number, new PendingProbe(target, now, true));
+    table.random(settings.indirectProbes(), random).stream()
+        .map(MemberRecord::identifier)
+        .filter(member -> !member.equals(target))
+        .forEach(
+            member ->
+                outgoing.add(new Outgoing(member, new IndirectProbe(gossip(), number, target))));
+  }
+
+  private void suspect(String target, Instant now) {
+    penalize(1);
+    table
+        .find(target)
+        .filter(record -> record.status() == MemberStatus.ALIVE)
+        .map(record -> record.withStatus(MemberStatus.SUSPECTED))
+        .ifPresent(record -> mergeRecord(record, now));
+  }
+
+  private void declareDead(Instant now) {
+    Duration timeout = settings.suspicionTimeout().multipliedBy(1L + healthPenalty);
+    List<String> overdue =
+        suspectedAt.entrySet().stream()
+            .filter(entry -> entry.getValue().plus(timeout).isBefore(now))
+            .map(Map.Entry::getKey)
+            .toList();
+    for (String member : overdue) {
+      suspectedAt.remove(member);
+      table
+          .find(member)
+          .filter(record -> record.status() == MemberStatus.SUSPECTED)
+          .map(record -> record.withStatus(MemberStatus.DEAD))
+          .ifPresent(record -> mergeRecord(record, now));
+    }
+  }
+
+  private Duration jittered(Duration interval) {
+    long milliseconds = interval.toMillis();
+    return Duration.ofMillis(milliseconds * 3 / 4 + random.nextLong(milliseconds / 2 + 1));
+  }
+
+  private void penalize(int amount) {
+    healthPenalty = Math.min(MAXIMUM_HEALTH_PENALTY, healthPenalty + amount);
+  }
+
+  // -- messages
+
+  /** Takes a datagram and returns the answers. */
+  public List<Outgoing> receive(ControlMessage message) {
+    requireNonNull(message, "message is null");
+    Instant now = clock.instant();
+    if (message instanceof Probe probe) {
+      take(probe.gossip(), now);
+      return List.of(
+          new Outgoing(
+              probe.gossip().source(),
+              new Acknowledgement(gossip(), probe.number(), table.self().identifier())));
+    }
+    if (message instanceof Acknowledgement acknowledgement) {
+      take(acknowledgement.gossip(), now);
+      return acknowledge(acknowledgement);
+    }
+    if (message instanceof IndirectProbe indirect) {
+      take(indirect.gossip(), now);
+      return relay(indirect);
+    }
+    if (message instanceof Announcement announcement) {
+      take(announcement.gossip(), now);
+    }
+    return List.of();
+  }
+
+  private List<Outgoing> relay(IndirectProbe indirect) {
+    Instant now = clock.instant();
+    relayed
+        .values()
+        .removeIf(origin -> origin.at().plus(settings.suspicionTimeout()).isBefore(now));
+    long number = nextNumber++;
+    String origin = indirect.gossip().source();
+    relayed.put(number, new IndirectOrigin(origin, indirect.number(), now));
+    return List.of(new Outgoing(indirect.target(), new Probe(gossip(), number, origin)));
+  }
+
+  private List<Outgoing> acknowledge(Acknowledgement acknowledgement) {
+    IndirectOrigin origin = relayed.remove(acknowledgement.number());
+    if (origin != null) {
+      Acknowledgement passedOn =
+          new Acknowledgement(gossip(), origin.originNumber(), acknowledgement.subject());
+      return List.of(new Outgoing(origin.origin(), passedOn));
+    }
+    PendingProbe probe = pending.get(acknowledgement.number());
+    if (probe != null && probe.target().equals(acknowledgement.subject())) {
+      pending.remove(acknowledgement.number());
+      healthPenalty = Math.max(0, healthPenalty - 1);
+    }
+    return List.of();
+  }
+
+  private void take(Gossip gossip, Instant now) {
+    gossip.records().forEach(record -> mergeRecord(record, now));
+    gossip
+        .statuses()
+        .forEach(
+            update ->
+                table
+                    .find(update.identifier())
+                    .filter(held -> held.incarnation() == update.incarnation())
+                    .filter(held -> held.sequence() == update.sequence())
+                    .map(held -> held.withStatus(update.status()))
+                    .ifPresent(record -> mergeRecord(record, now)));
+    takeUrgent(gossip.urgent());
+    pulls.noteHead(gossip.source(), gossip.head(), head.get());
+    table
+        .find(gossip.source())
+        .filter(record -> !record.zone().equals(table.self().zone()))
+        .ifPresent(record -> lastHeardOutsideZone = now);
+  }
+
+  /** Merges urgent facts and passes on those that are new. */
+  public void takeUrgent(List<UrgentFact> facts) {
+    urgentFacts.merge(facts).forEach(fact -> urgentQueue.add(fact.subject()));
+  }
+
+  /** Passes on a fact that this daemon decided. */
+  public List<Outgoing> announceUrgent(UrgentFact fact) {
+    urgentQueue.add(fact.subject());
+    return announce();
+  }
+
+  /** Merges records received in bulk. */
+  public void takeRecords(List<MemberRecord> records) {
+    Instant now = clock.instant();
+    records.forEach(record -> mergeRecord(record, now));
+  }
+
+  private void mergeRecord(MemberRecord record, Instant now) {
+    MemberRecord self = table.self();
+    if (record.identifier().equals(self.identifier())) {
+      refute(record, now);
+      return;
+    }
+    if (!table.merge(record, now)) {
+      return;
+    }
+    queue.add(record.identifier());
+    if (record.status() == MemberStatus.SUSPECTED) {
+      suspectedAt.putIfAbsent(record.identifier(), now);
+    } else {
+      suspectedAt.remove(record.identifier());
+    }
+  }
+
+  private void refute(MemberRecord claim, Instant now) {
+    MemberRecord self = table.self();
+    if (!claim.isNewerThan(self)) {
+      return;
+    }
+    long incarnation = Math.max(self.incarnation(), claim.incarnation());
+    long sequence = Math.max(self.sequence(), claim.sequence());
+    MemberRecord above =
+        new MemberRecord(
+            self.identifier(),
+            incarnation,
+            sequence,
+            self.status(),
+            self.zone(),
+            self.callAddress(),
+            self.labels(),
+            self.upstreams());
+    table.merge(above.next(self.status(), self.upstreams()), now);
+    queue.add(self.identifier());
+    penalize(1);
+  }
+
+  // -- announcements
+
+  /** Tells a few random members of the head, records and facts held now. */
+  public List<Outgoing> announce() {
+    return table.random(settings.fanout(), random).stream()
+        .map(member -> new Outgoing(member.identifier(), new Announcement(gossip())))
+        .toList();
+  }
+
+  /** Announces the upstreams beside this daemon and its own status. */
+  public List<Outgoing> announceSelf(MemberStatus status, List<AnnouncedUpstream> upstreams) {
+    table.merge(table.self().next(status, upstreams), clock.instant());
+    queue.add(table.self().identifier());
+    return announce();
+  }
+
+  /** Sends a first probe to an address at which a member is expected. */
+  public Outgoing introduce(String address) {
+    return new Outgoing(address, new Probe(gossip(), nextNumber++, table.self().identifier()));
+  }
+
+  private Gossip gossip() {
+    int fleet = table.size();
+    List<MemberRecord> records = new ArrayList<>();
+    List<StatusUpdate> statuses = new ArrayList<>();
+    queue.take(settings.recordsPerMessage() + settings.statusesPerMessage(), fleet).stream()
+        .flatMap(identifier -> table.find(identifier).stream())
+        .forEach(record -> addTo(records, statuses, record));
+    List<UrgentFact> urgent =
+        urgentQueue.take(fleet).stream().flatMap(s -> urgentFacts.find(s).stream()).toList();
+    return new Gossip(table.self().identifier(), head.get(), records, statuses, urgent);
+  }
+
+  private void addTo(List<MemberRecord> records, List<StatusUpdate> statuses, MemberRecord record) {
+    boolean contentMatters =
+        record.status() == MemberStatus.ALIVE || record.status() == MemberStatus.LEFT;
+    if (!contentMatters) {
+      statuses.add(record.toStatusUpdate());
+    } else if (records.size() < settings.recordsPerMessage()) {
+      records.add(record);
+    } else {
+      queue.add(record.identifier());
+    }
+  }
+
+  // -- queries
+
+  /** Returns the members known. */
+  public MembershipTable table() {
+    return table;
+  }
+
+  /** Returns when a daemon of another zone was last heard, or when this one started. */
+  public Instant lastHeardOutsideZone() {
+    return lastHeardOutsideZone;
+  }
+
+  /** Returns whether members of other zones are known, alive or not, that did not leave. */
+  public boolean knowsOtherZones() {
+    return table
+        .all()
+        .filter(record -> record.status() != MemberStatus.LEFT)
+        .anyMatch(record -> !record.zone().equals(table.self().zone()));
+  }
+
+  /** Returns how many records wait to be passed on. */
+  public int backlog() {
+    return queue.size();
+  }
+
+  /** Returns the members that are alive, the daemon itself included. */
+  public Stream<MemberRecord> alive() {
+    return table.all().filter(record -> record.status() == MemberStatus.ALIVE);
+  }
+
+  /** Returns the record of a member if it is present. */
+  public Optional<MemberRecord> present(String identifier) {
+    return table.find(identifier).filter(record -> record.status().isPresent());
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/MemberRecord.java
@@ -0,0 +1,128 @@
+package org.parsleycart.decision.membership;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.model.document.Problem;
+
+/**
+ * What one daemon says of itself and the upstreams beside it.
+ *
+ * <p>The daemon is the only writer of the content at one incarnation and sequence; others change
+ * only the status. So records are totally ordered and the larger one wins in any order of arrival.
+ *
+ * @param identifier the control address of the daemon, {@code host:port}
+ * @param incarnation the start of the process in milliseconds since the epoch
+ * @param sequence counts the announcements of this incarnation
+ * @param status what is believed of the daemon
+ * @param zone its availability zone
+ * @param callAddress where it takes calls from other daemons, {@code host:port}
+ * @param labels its labels
+ * @param upstreams the upstreams beside it
+ */
+public record MemberRecord(
+    String identifier,
+    long incarnation,
+    long sequence,
+    MemberStatus status,
+    String zone,
+    String callAddress,
+    Map<String, String> labels,
+    List<AnnouncedUpstream> upstreams) {
+  private static final Comparator<MemberRecord> ORDER =
+      Comparator.comparingLong(MemberRecord::incarnation)
+          .thenComparingLong(MemberRecord::sequence)
+          .thenComparing(MemberRecord::status);
+
+  // -- construction
+
+  public MemberRecord {
+    requireNonNull(identifier, "identifier is null");
+    requireNonNull(status, "status is null");
+    requireNonNull(zone, "zone is null");
+    requireNonNull(callAddress, "callAddress is null");
+    labels = Map.copyOf(labels);
+    upstreams = List.copyOf(upstreams);
+  }
+
+  /** Reads a record from its document form. */
+  public static MemberRecord from(Document document, List<Problem> problems) {
+    MappingReader reader = MappingReader.of(document, problems);
+    MemberRecord record =
+        new MemberRecord(
+            reader.requiredText("member"),
+            reader.requiredNumber("incarnation", 0, Long.MAX_VALUE),
+            reader.requiredNumber("sequence", 0, Long.MAX_VALUE),
+            StatusUpdate.statusFrom(reader),
+            reader.requiredText("zone"),
+            reader.requiredText("calls"),
+            reader.texts("labels"),
+            reader.items(
+                "upstreams", item -> AnnouncedUpstream.from(MappingReader.of(item, problems))));
+    reader.finish();
+    return record;
+  }
+
+  /** Returns this record with another status at the same incarnation and sequence. */
+  public MemberRecord withStatus(MemberStatus newStatus) {
+    return new MemberRecord(
+        identifier, incarnation, sequence, newStatus, zone, callAddress, labels, upstreams);
+  }
+
+  /** Returns the next announcement of this incarnation. */
+  public MemberRecord next(MemberStatus newStatus, List<AnnouncedUpstream> newUpstreams) {
+    return new MemberRecord(
+        identifier, incarnation, sequence + 1, newStatus, zone, callAddress, labels, newUpstreams);
+  }
+
+  /** Returns this record moved above the incarnation of another claim to the same identifier. */
+  public MemberRecord withIncarnation(long newIncarnation) {
+    return new MemberRecord(
+        identifier, newIncarnation, sequence, status, zone, callAddress, labels, upstreams);
+  }
+
+  // -- queries
+
+  /** Returns whether this record replaces the other one. */
+  public boolean isNewerThan(MemberRecord other) {
+    requireNonNull(other, "other is null");
+    return ORDER.compare(this, other) > 0;
+  }
+
+  /** Returns the larger of two records of one member. */
+  public MemberRecord merge(MemberRecord other) {
+    return other.isNewerThan(this) ? other : this;
+  }
+
+  /** Returns the status alone, for receivers that hold the content. */
+  public StatusUpdate toStatusUpdate() {
+    return new StatusUpdate(identifier, incarnation, sequence, status);
+  }
+
+  // -- conversion
+
+  /** Returns the document form. */
+  public Document.Mapping toDocument() {
+    Document.MappingBuilder builder =
+        Document.mapping()
+            .with("member", identifier)
+            .with("incarnation", incarnation)
+            .with("sequence", sequence)
+            .with("status", status.code())
+            .with("zone", zone)
+            .with("calls", callAddress)
+            .withTexts("labels", new TreeMap<>(labels));
+    return upstreams.isEmpty()
+        ? builder.build()
+        : builder
+            .with(
+                "upstreams",
+                Document.sequence(upstreams.stream().map(AnnouncedUpstream::toDocument).toList()))
+            .build();
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/Outgoing.java
@@ -0,0 +1,19 @@
+package org.parsleycart.decision.message;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * A message that a state machine wants sent.
+ *
+ * @param target the identifier of the receiver, its control address
+ * @param message the message
+ */
+public record Outgoing(String target, ControlMessage message) {
+
+  // -- construction
+
+  public Outgoing {
+    requireNonNull(target, "target is null");
+    requireNonNull(message, "message is null");
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
@@ -0,0 +1,52 @@
+package org.parsleycart.decision.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import org.parsleycart.decision.Outcome;
+import org.parsleycart.model.Contract;
+
+/**
+ * Decides whether a call is tried again.
+ *
+ * <p>An answer of the upstream, also one that says that it failed, is never tried again: the layer
+ * nearest to a fault retries it and the layers above see an answer, so that retries do not multiply
+ * along a chain of calls.
+ */
+public final class RetryPolicy {
+  private static final Duration SHORTEST_USEFUL_TIME = Duration.ofMillis(5);
+
+  private final RetryBudget budget;
+
+  // -- construction
+
+  /** Creates a policy on the given budget. */
+  public RetryPolicy(RetryBudget budget) {
+    this.budget = requireNonNull(budget, "budget is null");
+  }
+
+  // -- events
+
+  /** Takes note of the first attempt of a call, which earns a share of a retry. */
+  public void called() {
+    budget.called();
+  }
+
+  // -- decision
+
+  /**
+   * Returns whether to try again, and takes the retry from the budget.
+   *
+   * @param contract the contract of the route
+   * @param attempts how often the call was tried
+   * @param outcome the outcome of the last attempt
+   * @param remaining the time until the deadline
+   */
+  public boolean tryAgain(Contract contract, int attempts, Outcome outcome, Duration remaining) {
+    requireNonNull(contract, "contract is null");
+    return outcome.mayRetry(contract.requestKind())
+        && attempts < contract.maximumAttempts()
+        && remaining.compareTo(SHORTEST_USEFUL_TIME) > 0
+        && budget.take();
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamDirectory.java
@@ -0,0 +1,93 @@
+package org.parsleycart.decision.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.parsleycart.decision.membership.MemberRecord;
+import org.parsleycart.decision.membership.MemberStatus;
+
+/**
+ * The upstreams that may take new calls, by service and version; immutable.
+ *
+ * <p>Upstreams that drain, that stand in a withdrawn zone, or whose daemon is suspected are left
+ * out.
+ */
+public final class UpstreamDirectory {
+  private static final UpstreamDirectory EMPTY = new UpstreamDirectory(Map.of());
+
+  private final Map<Key, CandidatePool> pools;
+
+  private record Key(String service, String version) {}
+
+  // -- construction
+
+  private UpstreamDirectory(Map<Key, CandidatePool> pools) {
+    this.pools = pools;
+  }
+
+  /** Returns the directory without upstreams. */
+  public static UpstreamDirectory empty() {
+    return EMPTY;
+  }
+
+  /**
+   * Builds the directory.
+   *
+   * @param members the members known
+   * @param ownZone the zone of the daemon that routes
+   * @param withdrawn tells which zones take no new work
+   */
+  public static UpstreamDirectory of(
+      Stream<MemberRecord> members, String ownZone, Predicate<String> withdrawn) {
+    requireNonNull(members, "members is null");
+    requireNonNull(ownZone, "ownZone is null");
+    requireNonNull(withdrawn, "withdrawn is null");
+    Map<Key, List<Candidate>> near = new HashMap<>();
+    Map<Key, List<Candidate>> far = new HashMap<>();
+    members
+        .filter(member -> member.status() == MemberStatus.ALIVE)
+        .filter(member -> !withdrawn.test(member.zone()))
+        .flatMap(UpstreamDirectory::candidates)
+        .forEach(
+            candidate -> {
+              Key key = new Key(candidate.upstream().service(), candidate.upstream().version());
+              Map<Key, List<Candidate>> side = candidate.zone().equals(ownZone) ? near : far;
+              side.computeIfAbsent(key, unused -> new ArrayList<>()).add(candidate);
+            });
+    Map<Key, CandidatePool> pools = new HashMap<>();
+    Stream.concat(near.keySet().stream(), far.keySet().stream())
+        .distinct()
+        .forEach(
+            key ->
+                pools.put(
+                    key,
+                    new CandidatePool(
+                        near.getOrDefault(key, List.of()), far.getOrDefault(key, List.of()))));
+    return new UpstreamDirectory(Map.copyOf(pools));
+  }
+
+  private static Stream<Candidate> candidates(MemberRecord member) {
+    return member.upstreams().stream()
+        .filter(upstream -> !upstream.draining())
+        .map(
+            upstream ->
+                new Candidate(upstream, member.identifier(), member.zone(), member.callAddress()));
+  }
+
+  // -- queries
+
+  /** Returns the upstreams of a version of a service. */
+  public CandidatePool pool(String service, String version) {
+    return pools.getOrDefault(new Key(service, version), CandidatePool.empty());
+  }
+
+  /** Returns all upstreams. */
+  public Stream<Candidate> all() {
+    return pools.values().stream().flatMap(CandidatePool::all);
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
@@ -0,0 +1,81 @@
+package org.parsleycart.decision.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.parsleycart.decision.admission.LoadReport;
+
+/**
+ * What one entry knows of the load of one upstream: its own calls in flight, the last report that
+ * rode on an answer, and failures that set the upstream aside. Safe for use by several threads.
+ */
+public final class UpstreamLoad {
+  private static final int FAILURES_BEFORE_SETTING_ASIDE = 2;
+  private static final Duration SHORTEST_SETTING_ASIDE = Duration.ofMillis(500);
+  private static final int MOST_DOUBLINGS = 6;
+
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicInteger consecutiveFailures = new AtomicInteger();
+  private volatile int reportedLimit;
+  private volatile int reportedByOthers;
+  private volatile Instant setAsideUntil = Instant.MIN;
+
+  // -- construction
+
+  UpstreamLoad(int slots) {
+    this.reportedLimit = slots;
+  }
+
+  // -- events
+
+  /** Takes note that a call is sent. */
+  public void started() {
+    inFlight.incrementAndGet();
+  }
+
+  /** Takes note that a call has ended in any way. */
+  public void ended() {
+    inFlight.decrementAndGet();
+  }
+
+  /** Takes the load that an answer reported. */
+  public void reported(LoadReport report) {
+    requireNonNull(report, "report is null");
+    consecutiveFailures.set(0);
+    reportedLimit = Math.max(1, report.limit());
+    reportedByOthers = Math.max(0, report.busy() - inFlight.get());
+  }
+
+  /** Takes note that the daemon beside the upstream could not be reached or broke off. */
+  public void failed(Instant now) {
+    int failures = consecutiveFailures.incrementAndGet();
+    if (failures >= FAILURES_BEFORE_SETTING_ASIDE) {
+      int doublings = Math.min(MOST_DOUBLINGS, failures - FAILURES_BEFORE_SETTING_ASIDE);
+      setAsideUntil = now.plus(SHORTEST_SETTING_ASIDE.multipliedBy(1L << doublings));
+    }
+  }
+
+  // -- queries
+
+  /** Returns the calls in flight from this entry. */
+  public int inFlight() {
+    return inFlight.get();
+  }
+
+  /** Returns the share of the limit in use if one more call were sent; above 1 it would wait. */
+  public double utilization() {
+    return (reportedByOthers + inFlight.get() + 1.0) / reportedLimit;
+  }
+
+  /** Returns the calls that the upstream was busy with, as far as reported. */
+  public int busy() {
+    return reportedByOthers + inFlight.get();
+  }
+
+  /** Returns whether failures in a row keep the upstream out of the choice. */
+  public boolean isSetAside(Instant now) {
+    return now.isBefore(setAsideUntil);
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
@@ -0,0 +1,88 @@
+package org.parsleycart.decision.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses the upstream of a call: the less loaded of two taken at random, in the near zone as long
+ * as it has room, elsewhere when that is clearly better.
+ *
+ * <p>The cost does not grow with the number of upstreams.
+ */
+public final class UpstreamSelection {
+  private static final double SPILL_ABOVE_UTILIZATION = 0.8;
+  private static final double FAR_PENALTY = 0.2;
+  private static final int DRAWS = 6;
+
+  private final LoadBoard loads;
+
+  // -- construction
+
+  /** Creates a selection over the given loads. */
+  public UpstreamSelection(LoadBoard loads) {
+    this.loads = requireNonNull(loads, "loads is null");
+  }
+
+  // -- decision
+
+  /**
+   * Chooses an upstream.
+   *
+   * @param pool the upstreams of the version
+   * @param tried identifiers of upstreams that this call has tried
+   * @param now the time
+   * @param random the source of choices
+   * @return the upstream, or empty when all have been tried or there is none
+   */
+  public Optional<Candidate> choose(
+      CandidatePool pool, Set<String> tried, Instant now, RandomGenerator random) {
+    requireNonNull(pool, "pool is null");
+    Optional<Candidate> near = betterOfTwo(pool.near(), tried, now, random);
+    if (near.isPresent() && utilization(near.get()) < SPILL_ABOVE_UTILIZATION) {
+      return near;
+    }
+    Optional<Candidate> far = betterOfTwo(pool.far(), tried, now, random);
+    if (near.isPresent() && far.isPresent()) {
+      boolean farIsBetter = utilization(far.get()) + FAR_PENALTY < utilization(near.get());
+      return farIsBetter ? far : near;
+    }
+    return near.or(() -> far)
+        .or(() -> pool.all().filter(each -> !tried.contains(each.identifier())).findFirst());
+  }
+
+  private Optional<Candidate> betterOfTwo(
+      List<Candidate> side, Set<String> tried, Instant now, RandomGenerator random) {
+    Optional<Candidate> first = draw(side, tried, now, random);
+    if (first.isEmpty() || side.size() == 1) {
+      return first;
+    }
+    Optional<Candidate> second = draw(side, tried, now, random);
+    return second
+        .filter(candidate -> utilization(candidate) < utilization(first.get()))
+        .or(() -> first);
+  }
+
+  private Optional<Candidate> draw(
+      List<Candidate> side, Set<String> tried, Instant now, RandomGenerator random) {
+    for (int draw = 0; draw < DRAWS && !side.isEmpty(); draw++) {
+      Candidate candidate = side.get(random.nextInt(side.size()));
+      if (isUsable(candidate, tried, now)) {
+        return Optional.of(candidate);
+      }
+    }
+    return side.stream().filter(candidate -> isUsable(candidate, tried, now)).findFirst();
+  }
+
+  private boolean isUsable(Candidate candidate, Set<String> tried, Instant now) {
+    return !tried.contains(candidate.identifier()) && !loads.of(candidate).isSetAside(now);
+  }
+
+  private double utilization(Candidate candidate) {
+    return loads.of(candidate).utilization();
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
@@ -0,0 +1,168 @@
+package org.parsleycart.decision.spreading;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.parsleycart.decision.message.ControlMessage.ConfigurationAnswer;
+import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
+import org.parsleycart.decision.message.Head;
+import org.parsleycart.decision.message.SnapshotBytes;
+import org.parsleycart.decision.message.VersionedChange;
+import org.parsleycart.model.Configuration;
+import org.parsleycart.model.Digest;
+
+/**
+ * The configuration in force at one daemon and the recent changes that led to it.
+ *
+ * <p>A version takes effect as one immutable snapshot and only when its digest matches; a version
+ * at or below the one in force never does. Reads from any thread see one state; updates from
+ * several threads are serialized.
+ */
+public final class ConfigurationLog {
+  /** How many changes are kept for peers that lag; older ones are served as a snapshot. */
+  static final int KEPT_CHANGES = 256;
+
+  private volatile State state;
+
+  private record State(Configuration configuration, Digest digest, List<VersionedChange> changes) {}
+
+  // -- construction
+
+  private ConfigurationLog(Configuration configuration) {
+    this.state = new State(configuration, configuration.digest(), List.of());
+  }
+
+  /** Returns a log that holds version 0. */
+  public static ConfigurationLog empty() {
+    return new ConfigurationLog(Configuration.empty());
+  }
+
+  // -- queries
+
+  /** Returns the configuration in force. */
+  public Configuration current() {
+    return state.configuration();
+  }
+
+  /** Returns the head to announce. */
+  public Head head() {
+    return headOf(state);
+  }
+
+  /** Returns the digest of the configuration in force. */
+  public Digest digest() {
+    return state.digest();
+  }
+
+  /** Returns the changes kept, oldest first. */
+  public List<VersionedChange> recentChanges() {
+    return state.changes();
+  }
+
+  /** Answers a peer that asks for what it lacks. */
+  public ConfigurationAnswer answer(ConfigurationRequest request) {
+    requireNonNull(request, "request is null");
+    State now = state;
+    Head head = headOf(now);
+    if (request.afterVersion() >= now.configuration().version()) {
+      return new ConfigurationAnswer(head, List.of(), Optional.empty());
+    }
+    List<VersionedChange> missing =
+        now.changes().stream().filter(each -> each.version() > request.afterVersion()).toList();
+    boolean complete =
+        request.afterVersion() >= 0
+            && !missing.isEmpty()
+            && missing.get(0).version() == request.afterVersion() + 1;
+    return complete
+        ? new ConfigurationAnswer(head, missing, Optional.empty())
+        : new ConfigurationAnswer(
+            head, List.of(), Optional.of(SnapshotBytes.of(now.configuration().toBytes())));
+  }
+
+  private static Head headOf(State state) {
+    String digest = state.digest().hexadecimal().substring(0, Head.DIGEST_DIGITS);
+    return new Head(state.configuration().version(), digest);
+  }
+
+  // -- updates
+
+  /**
+   * Takes what a peer or the platform answered.
+   *
+   * @param answer the answer
+   * @return the number of versions that took effect, or why none or only the first of them did
+   */
+  public synchronized Either<SpreadingError, Integer> receive(ConfigurationAnswer answer) {
+    requireNonNull(answer, "answer is null");
+    if (answer.snapshot().isPresent()) {
+      return receiveSnapshot(answer.head(), answer.snapshot().get());
+    }
+    int applied = 0;
+    for (VersionedChange change : answer.changes()) {
+      Either<SpreadingError, Boolean> result = append(change);
+      if (result.isLeft()) {
+        return Either.left(result.getLeft());
+      }
+      applied += result.get() ? 1 : 0;
+    }
+    return Either.right(applied);
+  }
+
+  /**
+   * Takes one accepted change.
+   *
+   * @param accepted the change
+   * @return whether it took effect; false when its version is in force already
+   */
+  public synchronized Either<SpreadingError, Boolean> append(VersionedChange accepted) {
+    requireNonNull(accepted, "accepted is null");
+    State held = state;
+    long expected = held.configuration().version() + 1;
+    if (accepted.version() < expected) {
+      return Either.right(false);
+    }
+    if (accepted.version() > expected) {
+      return Either.left(new SpreadingError.Gap(expected, accepted.version()));
+    }
+    return held.configuration()
+        .apply(accepted.change())
+        .mapLeft(violations -> (SpreadingError) new SpreadingError.Invalid(expected, violations))
+        .flatMap(next -> install(next, accepted, held.changes()));
+  }
+
+  private Either<SpreadingError, Boolean> install(
+      Configuration next, VersionedChange accepted, List<VersionedChange> kept) {
+    Digest digest = next.digest();
+    if (!digest.equals(accepted.digest())) {
+      return Either.left(new SpreadingError.DigestMismatch(next.version()));
+    }
+    List<VersionedChange> changes =
+        new ArrayList<>(kept.subList(Math.max(0, kept.size() + 1 - KEPT_CHANGES), kept.size()));
+    changes.add(accepted);
+    state = new State(next, digest, List.copyOf(changes));
+    return Either.right(true);
+  }
+
+  /** Takes a whole snapshot whose head is known from elsewhere. */
+  public synchronized Either<SpreadingError, Integer> receiveSnapshot(
+      Head head, SnapshotBytes snapshot) {
+    byte[] bytes = snapshot.toBytes();
+    Digest digest = Digest.of(bytes);
+    if (!digest.hexadecimal().startsWith(head.digest())) {
+      return Either.left(new SpreadingError.DigestMismatch(head.version()));
+    }
+    Either<SpreadingError, Configuration> parsed =
+        Configuration.from(bytes).mapLeft(SpreadingError.Unreadable::new);
+    return parsed.map(
+        configuration -> {
+          if (configuration.version() <= state.configuration().version()) {
+            return 0;
+          }
+          state = new State(configuration, digest, List.of());
+          return 1;
+        });
+  }
+}
--- /dev/null
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/ChangeCodec.java
@@ -0,0 +1,73 @@
+package org.parsleycart.link;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import org.parsleycart.decision.message.VersionedChange;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.Digest;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.model.document.MessagePackDocuments;
+import org.parsleycart.model.document.Problem;
+
+/** Turns accepted changes into documents and back, for messages and for platform rows. */
+public final class ChangeCodec {
+  private static final ConfigurationChange NOTHING =
+      new ConfigurationChange("", "", List.of(), List.of());
+
+  private ChangeCodec() {}
+
+  // -- documents
+
+  /** Returns the document form. */
+  public static Document.Mapping toDocument(VersionedChange accepted) {
+    requireNonNull(accepted, "accepted is null");
+    return Document.mapping()
+        .with("version", accepted.version())
+        .with("acceptedAt", accepted.acceptedAt())
+        .with("digest", accepted.digest().hexadecimal())
+        .with("change", accepted.change().toDocument())
+        .build();
+  }
+
+  /** Reads the document form. */
+  public static VersionedChange from(Document document, List<Problem> problems) {
+    requireNonNull(document, "document is null");
+    MappingReader reader = MappingReader.of(document, problems);
+    return new VersionedChange(
+        reader.requiredNumber("version", 1, Long.MAX_VALUE),
+        reader.requiredNumber("acceptedAt", 0, Long.MAX_VALUE),
+        readChange(reader, problems),
+        new Digest(reader.requiredText("digest")));
+  }
+
+  private static ConfigurationChange readChange(MappingReader reader, List<Problem> problems) {
+    Document document = reader.document("change").orElseGet(() -> Document.mapping().build());
+    Either<List<Problem>, ConfigurationChange> change = ConfigurationChange.from(document, "", "");
+    change.peekLeft(problems::addAll);
+    return change.getOrElse(NOTHING);
+  }
+
+  // -- bytes
+
+  /** Returns the MessagePack form. */
+  public static byte[] toBytes(VersionedChange accepted) {
+    return MessagePackDocuments.format(toDocument(accepted));
+  }
+
+  /** Reads the MessagePack form. */
+  public static Either<List<Problem>, VersionedChange> from(byte[] bytes) {
+    requireNonNull(bytes, "bytes is null");
+    return MessagePackDocuments.parse(bytes)
+        .mapLeft(List::of)
+        .flatMap(
+            document -> {
+              List<Problem> problems = new ArrayList<>();
+              VersionedChange change = from(document, problems);
+              return problems.isEmpty() ? Either.right(change) : Either.left(problems);
+            });
+  }
+}
--- /dev/null
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/DatagramLink.java
@@ -0,0 +1,87 @@
+package org.parsleycart.link;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.util.Arrays;
+import java.util.Optional;
+import org.parsleycart.decision.message.ControlMessage;
+import org.parsleycart.decision.message.Outgoing;
+
+/** Sends and receives messages as datagrams. Used by one thread. */
+public final class DatagramLink implements AutoCloseable {
+  private static final int MAXIMUM_DATAGRAM_BYTES = 16 * 1024;
+
+  private final DatagramSocket socket;
+  private final Envelope envelope;
+  private final LinkCounters counters;
+  private final byte[] buffer = new byte[MAXIMUM_DATAGRAM_BYTES];
+
+  // -- construction
+
+  private DatagramLink(DatagramSocket socket, Envelope envelope, LinkCounters counters) {
+    this.socket = socket;
+    this.envelope = requireNonNull(envelope, "envelope is null");
+    this.counters = requireNonNull(counters, "counters is null");
+  }
+
+  /**
+   * Opens a link.
+   *
+   * @param address where it receives
+   * @throws IOException when the address cannot be used
+   */
+  public static DatagramLink open(
+      InetSocketAddress address, Envelope envelope, LinkCounters counters) throws IOException {
+    return new DatagramLink(new DatagramSocket(address), envelope, counters);
+  }
+
+  // -- operations
+
+  /** Sends a message; a message that cannot be sent is lost, as any datagram may be. */
+  public void send(Outgoing outgoing) {
+    requireNonNull(outgoing, "outgoing is null");
+    Optional<InetSocketAddress> target = Addresses.parse(outgoing.target());
+    if (target.isEmpty()) {
+      counters.rejected();
+      return;
+    }
+    byte[] bytes = envelope.seal(outgoing.message());
+    try {
+      socket.send(new DatagramPacket(bytes, bytes.length, target.get()));
+      counters.sent(bytes.length);
+    } catch (IOException e) {
+      counters.rejected();
+    }
+  }
+
+  /** Waits up to the given time for a message; strangers' datagrams are counted and dropped. */
+  public Optional<ControlMessage> receive(int timeoutMilliseconds) {
+    DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
+    try {
+      socket.setSoTimeout(Math.max(1, timeoutMilliseconds));
+      socket.receive(packet);
+    } catch (SocketTimeoutException e) {
+      return Optional.empty();
+    } catch (IOException e) {
+      counters.rejected();
+      return Optional.empty();
+    }
+    counters.received(packet.getLength());
+    Optional<ControlMessage> message =
+        envelope.open(Arrays.copyOf(buffer, packet.getLength())).toJavaOptional();
+    if (message.isEmpty()) {
+      counters.rejected();
+    }
+    return message;
+  }
+
+  @Override
+  public void close() {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/Envelope.java
@@ -0,0 +1,77 @@
+package org.parsleycart.link;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import org.parsleycart.decision.message.ControlMessage;
+import org.parsleycart.model.document.MessagePackDocuments;
+
+/**
+ * The bytes of one message: protocol version (1 byte), signature (16 bytes), MessagePack body.
+ *
+ * <p>The signature covers the version and the body. Bytes of a stranger are rejected before their
+ * body is parsed.
+ */
+public final class Envelope {
+  /** The protocol version written; others are rejected. */
+  public static final byte PROTOCOL_VERSION = 1;
+
+  private static final int HEADER_LENGTH = 1 + PeerKeys.SIGNATURE_LENGTH;
+
+  private final PeerKeys keys;
+
+  // -- construction
+
+  /** Creates envelopes signed with the given keys. */
+  public Envelope(PeerKeys keys) {
+    this.keys = requireNonNull(keys, "keys is null");
+  }
+
+  // -- operations
+
+  /** Returns the bytes of a message. */
+  public byte[] seal(ControlMessage message) {
+    requireNonNull(message, "message is null");
+    byte[] body = MessagePackDocuments.format(MessageCodec.toDocument(message));
+    byte[] signature = keys.sign(signedPart(PROTOCOL_VERSION, body));
+    return ByteBuffer.allocate(HEADER_LENGTH + body.length)
+        .put(PROTOCOL_VERSION)
+        .put(signature)
+        .put(body)
+        .array();
+  }
+
+  /**
+   * Returns the message in the bytes.
+   *
+   * @param bytes any bytes
+   * @return the message, or why the bytes are rejected
+   */
+  public Either<LinkError, ControlMessage> open(byte[] bytes) {
+    requireNonNull(bytes, "bytes is null");
+    if (bytes.length <= HEADER_LENGTH) {
+      return rejected("only " + bytes.length + " bytes");
+    }
+    if (bytes[0] != PROTOCOL_VERSION) {
+      return rejected("protocol version " + bytes[0]);
+    }
+    byte[] signature = Arrays.copyOfRange(bytes, 1, HEADER_LENGTH);
+    byte[] body = Arrays.copyOfRange(bytes, HEADER_LENGTH, bytes.length);
+    if (!keys.isSigned(signedPart(bytes[0], body), signature)) {
+      return rejected("signature does not match");
+    }
+    return MessagePackDocuments.parse(body)
+        .mapLeft(problem -> (LinkError) new LinkError.Rejected(problem.toString()))
+        .flatMap(MessageCodec::from);
+  }
+
+  private static byte[] signedPart(byte version, byte[] body) {
+    return ByteBuffer.allocate(1 + body.length).put(version).put(body).array();
+  }
+
+  private static Either<LinkError, ControlMessage> rejected(String cause) {
+    return Either.left(new LinkError.Rejected(cause));
+  }
+}
--- /dev/null
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/CallExchange.java
@@ -0,0 +1,128 @@
+package org.parsleycart.link.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderValues;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.xnio.ChannelListener;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** Writes the body of one call and gathers its answer, on the thread of the connection. */
+final class CallExchange implements ClientCallback<ClientExchange> {
+  private static final int MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024;
+  private static final int READ_BYTES = 4 * 1024;
+
+  private final ByteBuffer body;
+  private final CompletableFuture<HttpAnswer> answer;
+  private final ByteArrayOutputStream gathered = new ByteArrayOutputStream();
+
+  // -- construction
+
+  CallExchange(byte[] body, CompletableFuture<HttpAnswer> answer) {
+    this.body = ByteBuffer.wrap(body);
+    this.answer = answer;
+  }
+
+  // -- ClientCallback
+
+  @Override
+  public void completed(ClientExchange exchange) {
+    exchange.setResponseListener(
+        new ClientCallback<>() {
+          @Override
+          public void completed(ClientExchange answered) {
+            readHead(answered);
+          }
+
+          @Override
+          public void failed(IOException cause) {
+            answer.completeExceptionally(cause);
+          }
+        });
+    write(exchange.getRequestChannel());
+  }
+
+  @Override
+  public void failed(IOException cause) {
+    answer.completeExceptionally(cause);
+  }
+
+  // -- writing
+
+  private void write(StreamSinkChannel channel) {
+    try {
+      while (body.hasRemaining()) {
+        if (channel.write(body) == 0) {
+          resumeWrites(channel);
+          return;
+        }
+      }
+      channel.shutdownWrites();
+      if (!channel.flush()) {
+        resumeWrites(channel);
+      }
+    } catch (IOException e) {
+      answer.completeExceptionally(e);
+    }
+  }
+
+  private void resumeWrites(StreamSinkChannel channel) {
+    ChannelListener<StreamSinkChannel> listener =
+        ready -> {
+          ready.suspendWrites();
+          write(ready);
+        };
+    channel.getWriteSetter().set(listener);
+    channel.resumeWrites();
+  }
+
+  // -- reading
+
+  private void readHead(ClientExchange exchange) {
+    ClientResponse response = exchange.getResponse();
+    Map<String, String> headers = new LinkedHashMap<>();
+    for (HeaderValues values : response.getResponseHeaders()) {
+      headers.put(values.getHeaderName().toString(), values.getFirst());
+    }
+    readBody(exchange.getResponseChannel(), response.getResponseCode(), headers);
+  }
+
+  private void readBody(StreamSourceChannel channel, int status, Map<String, String> headers) {
+    ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
+    try {
+      int count = channel.read(buffer);
+      while (count > 0) {
+        gathered.write(buffer.array(), 0, count);
+        if (gathered.size() > MAXIMUM_ANSWER_BYTES) {
+          throw new IOException("answer above " + MAXIMUM_ANSWER_BYTES + " bytes");
+        }
+        buffer.clear();
+        count = channel.read(buffer);
+      }
+      if (count < 0) {
+        answer.complete(new HttpAnswer(status, headers, gathered.toByteArray()));
+      } else {
+        resumeReads(channel, status, headers);
+      }
+    } catch (IOException e) {
+      answer.completeExceptionally(e);
+    }
+  }
+
+  private void resumeReads(StreamSourceChannel channel, int status, Map<String, String> headers) {
+    ChannelListener<StreamSourceChannel> listener =
+        ready -> {
+          ready.suspendReads();
+          readBody(ready, status, headers);
+        };
+    channel.getReadSetter().set(listener);
+    channel.resumeReads();
+  }
+}
--- /dev/null
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpAnswer.java
@@ -0,0 +1,46 @@
+package org.parsleycart.link.http;
+
+import static java.util.Objects.requireNonNull;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** A whole HTTP answer. */
+public final class HttpAnswer {
+  private final int status;
+  private final Map<String, String> headers;
+  private final byte[] body;
+
+  // -- construction
+
+  HttpAnswer(int status, Map<String, String> headers, byte[] body) {
+    this.status = status;
+    this.headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+    this.headers.putAll(headers);
+    this.body = requireNonNull(body, "body is null");
+  }
+
+  // -- queries
+
+  /** Returns the status code. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns the first value of a header; the case of the name does not matter. */
+  public Optional<String> header(String name) {
+    return Optional.ofNullable(headers.get(name));
+  }
+
+  /** Returns the body. */
+  public byte[] body() {
+    return body.clone();
+  }
+
+  /** Returns the body as UTF-8 text. */
+  public String text() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpCall.java
@@ -0,0 +1,62 @@
+package org.parsleycart.link.http;
+
+import static java.util.Objects.requireNonNull;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** An HTTP request with a small body. */
+public final class HttpCall {
+  private final String method;
+  private final String path;
+  private final Map<String, String> headers = new LinkedHashMap<>();
+  private byte[] body = new byte[0];
+
+  // -- construction
+
+  private HttpCall(String method, String path) {
+    this.method = requireNonNull(method, "method is null");
+    this.path = requireNonNull(path, "path is null");
+  }
+
+  /** Returns a call of a method on a path with its query. */
+  public static HttpCall of(String method, String path) {
+    return new HttpCall(method, path);
+  }
+
+  /** Adds a header. */
+  public HttpCall header(String name, String value) {
+    headers.put(name, value);
+    return this;
+  }
+
+  /** Sets the body. */
+  public HttpCall body(byte[] bytes) {
+    body = bytes.clone();
+    return this;
+  }
+
+  /** Sets the body to UTF-8 text. */
+  public HttpCall body(String text) {
+    return body(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  // -- queries
+
+  String method() {
+    return method;
+  }
+
+  String path() {
+    return path;
+  }
+
+  Map<String, String> headers() {
+    return headers;
+  }
+
+  byte[] bodyBytes() {
+    return body;
+  }
+}
