--- /dev/null
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -0,0 +1,341 @@
+package org.parsleycart.model;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.model.document.MessagePackDocuments;
+import org.parsleycart.model.document.Problem;
+
+/**
+ * One version of the whole configuration: an immutable snapshot in which every reference closes.
+ *
+ * <pre>{@code
+ * Either<List<Violation>, Configuration> next = Configuration.empty().apply(change);
+ * }</pre>
+ */
+public final class Configuration {
+  private static final Configuration EMPTY =
+      new Configuration(0, new EnumMap<>(ResourceKind.class), List.of(), Map.of());
+
+  private static final String ZONE_CHANGES = "zoneChanges";
+
+  /** How many change identifiers a snapshot remembers, so that a repeat is recognized. */
+  static final int REMEMBERED_CHANGES = 512;
+
+  private final long version;
+  private final Map<ResourceKind, SortedMap<String, Resource>> resources;
+  private final List<AcceptedChange> recentChanges;
+  private final Map<String, Long> zoneChanges;
+  private final List<Route> routesByPrefixLength;
+  private final Set<String> withdrawnZones;
+  private final Map<String, Rollout> activeRollouts;
+
+  /**
+   * The version that a change became.
+   *
+   * @param identifier the identifier of the change
+   * @param version the version
+   */
+  public record AcceptedChange(String identifier, long version) {}
+
+  // -- construction
+
+  private Configuration(
+      long version,
+      Map<ResourceKind, SortedMap<String, Resource>> resources,
+      List<AcceptedChange> recentChanges,
+      Map<String, Long> earlierZoneChanges) {
+    this.version = version;
+    this.resources = resources;
+    this.recentChanges = recentChanges;
+    this.zoneChanges = Map.copyOf(earlierZoneChanges);
+    this.routesByPrefixLength =
+        routes().stream()
+            .sorted(Comparator.comparing((Route route) -> route.pathPrefix().length()).reversed())
+            .toList();
+    this.withdrawnZones = findWithdrawnZones();
+    this.activeRollouts = findActiveRollouts();
+  }
+
+  /** Returns version 0, which holds nothing. */
+  public static Configuration empty() {
+    return EMPTY;
+  }
+
+  /**
+   * Reads a snapshot from its MessagePack form.
+   *
+   * @param bytes the form that {@link #toBytes()} gives
+   * @return the snapshot, or the faults of the bytes
+   */
+  public static Either<List<Problem>, Configuration> from(byte[] bytes) {
+    requireNonNull(bytes, "bytes is null");
+    return MessagePackDocuments.parse(bytes).mapLeft(List::of).flatMap(Configuration::from);
+  }
+
+  private static Either<List<Problem>, Configuration> from(Document document) {
+    List<Problem> problems = new ArrayList<>();
+    MappingReader reader = MappingReader.of(document, problems);
+    long version = reader.requiredNumber("version", 0, Long.MAX_VALUE);
+    Map<ResourceKind, SortedMap<String, Resource>> resources = new EnumMap<>(ResourceKind.class);
+    for (ResourceKind kind : ResourceKind.values()) {
+      reader
+          .items(kind.section(), item -> kind.read(item, problems))
+          .forEach(resource -> put(resources, resource));
+    }
+    List<AcceptedChange> recent =
+        reader.items(
+            "recentChanges",
+            item -> {
+              MappingReader change = MappingReader.of(item, problems);
+              return new AcceptedChange(
+                  change.requiredText("change"),
+                  change.requiredNumber("version", 1, Long.MAX_VALUE));
+            });
+    Map<String, Long> zoneChanges = new TreeMap<>();
+    reader.texts(ZONE_CHANGES).forEach((zone, text) -> zoneChanges.put(zone, Long.valueOf(text)));
+    return problems.isEmpty()
+        ? Either.right(new Configuration(version, resources, List.copyOf(recent), zoneChanges))
+        : Either.left(problems);
+  }
+
+  /**
+   * Applies a change as a whole.
+   *
+   * @param change the change
+   * @return the next version, or every violation in the configuration that would result
+   */
+  public Either<List<Violation>, Configuration> apply(ConfigurationChange change) {
+    requireNonNull(change, "change is null");
+    Map<ResourceKind, SortedMap<String, Resource>> next = new EnumMap<>(resources);
+    change.touched().stream()
+        .map(ResourceReference::kind)
+        .distinct()
+        .forEach(kind -> next.put(kind, new TreeMap<>(section(kind))));
+    List<Violation> violations = new ArrayList<>();
+    for (ResourceReference removal : change.removals()) {
+      if (next.get(removal.kind()).remove(removal.name()) == null) {
+        violations.add(new Violation(removal, "a removal of nothing", "a resource that exists"));
+      }
+    }
+    change.upserts().forEach(resource -> put(next, resource));
+    List<AcceptedChange> remembered = remember(change.identifier(), version + 1);
+    Configuration unstamped = new Configuration(version + 1, next, remembered, zoneChanges);
+    Configuration result = unstamped.withZoneChangesSince(this);
+    result.all().flatMap(resource -> resource.violations(result)).forEach(violations::add);
+    return violations.isEmpty() ? Either.right(result) : Either.left(violations);
+  }
+
+  private Configuration withZoneChangesSince(Configuration earlier) {
+    if (earlier.withdrawnZones.equals(withdrawnZones)) {
+      return this;
+    }
+    Map<String, Long> changes = new TreeMap<>(zoneChanges);
+    Stream.concat(withdrawnZones.stream(), earlier.withdrawnZones.stream())
+        .filter(zone -> withdrawnZones.contains(zone) != earlier.withdrawnZones.contains(zone))
+        .forEach(zone -> changes.put(zone, version));
+    return new Configuration(version, resources, recentChanges, changes);
+  }
+
+  private static void put(
+      Map<ResourceKind, SortedMap<String, Resource>> target, Resource resource) {
+    target.computeIfAbsent(resource.kind(), kind -> new TreeMap<>()).put(resource.name(), resource);
+  }
+
+  private List<AcceptedChange> remember(String identifier, long acceptedVersion) {
+    int skipped = Math.max(0, recentChanges.size() + 1 - REMEMBERED_CHANGES);
+    List<AcceptedChange> recent =
+        new ArrayList<>(recentChanges.subList(skipped, recentChanges.size()));
+    recent.add(new AcceptedChange(identifier, acceptedVersion));
+    return Collections.unmodifiableList(recent);
+  }
+
+  private Set<String> findWithdrawnZones() {
+    Collection<Withdrawal> withdrawals = section(ResourceKind.WITHDRAWAL, Withdrawal.class);
+    return zones().stream()
+        .filter(
+            zone ->
+                withdrawals.stream()
+                    .anyMatch(each -> each.zones().matches(zone.selectableLabels())))
+        .map(AvailabilityZone::name)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  private Map<String, Rollout> findActiveRollouts() {
+    Map<String, Rollout> found = new TreeMap<>();
+    rollouts().stream()
+        .filter(rollout -> rollout.phase().isActive())
+        .forEach(
+            rollout ->
+                rollout
+                    .target(this)
+                    .ifPresent(service -> found.putIfAbsent(service.name(), rollout)));
+    return Collections.unmodifiableMap(found);
+  }
+
+  // -- queries
+
+  /** Returns the version, counted from 1; 0 is the empty configuration. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the version that the change with the given identifier became, if remembered. */
+  public Optional<Long> versionOf(String changeIdentifier) {
+    return recentChanges.stream()
+        .filter(change -> change.identifier().equals(changeIdentifier))
+        .map(AcceptedChange::version)
+        .findFirst();
+  }
+
+  /** Returns the route with the longest prefix that covers the path, for the given daemon. */
+  public Optional<Route> routeFor(String path, Map<String, String> daemonLabels) {
+    return routesByPrefixLength.stream()
+        .filter(route -> route.covers(path))
+        .filter(route -> route.daemons().matches(daemonLabels))
+        .findFirst();
+  }
+
+  /** Returns whether operators have taken the zone out of service. */
+  public boolean isWithdrawn(String zone) {
+    return withdrawnZones.contains(zone);
+  }
+
+  /** Returns the names of the zones that operators have taken out of service. */
+  public Set<String> withdrawnZones() {
+    return withdrawnZones;
+  }
+
+  /** Returns the version at which the zone was last withdrawn or returned, 0 if never. */
+  public long zoneChangedAt(String zone) {
+    return zoneChanges.getOrDefault(zone, 0L);
+  }
+
+  /** Returns the rollout that moves the service now. */
+  public Optional<Rollout> activeRollout(String service) {
+    return Optional.ofNullable(activeRollouts.get(service));
+  }
+
+  /** Returns the service with the given name. */
+  public Optional<Service> service(String name) {
+    return find(ResourceKind.SERVICE, name, Service.class);
+  }
+
+  /** Returns the contract with the given name. */
+  public Optional<Contract> contract(String name) {
+    return find(ResourceKind.CONTRACT, name, Contract.class);
+  }
+
+  /** Returns the rollout with the given name. */
+  public Optional<Rollout> rollout(String name) {
+    return find(ResourceKind.ROLLOUT, name, Rollout.class);
+  }
+
+  /** Returns the resource that the reference names. */
+  public Optional<Resource> resource(ResourceReference reference) {
+    return find(reference.kind(), reference.name(), Resource.class);
+  }
+
+  /** Returns all services. */
+  public Collection<Service> services() {
+    return section(ResourceKind.SERVICE, Service.class);
+  }
+
+  /** Returns all routes. */
+  public Collection<Route> routes() {
+    return section(ResourceKind.ROUTE, Route.class);
+  }
+
+  /** Returns all availability zones. */
+  public Collection<AvailabilityZone> zones() {
+    return section(ResourceKind.AVAILABILITY_ZONE, AvailabilityZone.class);
+  }
+
+  /** Returns all rollouts, also those that have ended. */
+  public Collection<Rollout> rollouts() {
+    return section(ResourceKind.ROLLOUT, Rollout.class);
+  }
+
+  /** Returns all resources. */
+  public Stream<Resource> all() {
+    return resources.values().stream().flatMap(each -> each.values().stream());
+  }
+
+  private SortedMap<String, Resource> section(ResourceKind kind) {
+    return resources.getOrDefault(kind, Collections.emptySortedMap());
+  }
+
+  @SuppressWarnings("unchecked")
+  private <T extends Resource> Collection<T> section(ResourceKind kind, Class<T> unused) {
+    return (Collection<T>) Collections.unmodifiableCollection(section(kind).values());
+  }
+
+  private <T extends Resource> Optional<T> find(ResourceKind kind, String name, Class<T> type) {
+    return Optional.ofNullable(section(kind).get(name)).map(type::cast);
+  }
+
+  // -- conversion
+
+  /** Returns the resources as a document, in the form of a configuration file. */
+  public Document.Mapping toDocument() {
+    Document.MappingBuilder builder = Document.mapping().with("version", version);
+    resources.forEach(
+        (kind, section) -> {
+          if (!section.isEmpty()) {
+            builder.with(
+                kind.section(),
+                Document.sequence(section.values().stream().map(Resource::toDocument).toList()));
+          }
+        });
+    return builder.build();
+  }
+
+  /** Returns the MessagePack form; equal snapshots give equal bytes. */
+  public byte[] toBytes() {
+    Document.MappingBuilder builder = Document.mapping();
+    toDocument().entries().forEach(builder::with);
+    List<Document.Mapping> recent =
+        recentChanges.stream()
+            .map(
+                change ->
+                    Document.mapping()
+                        .with("change", change.identifier())
+                        .with("version", change.version())
+                        .build())
+            .toList();
+    Map<String, String> changes = new TreeMap<>();
+    zoneChanges.forEach((zone, changedAt) -> changes.put(zone, changedAt.toString()));
+    return MessagePackDocuments.format(
+        builder
+            .with("recentChanges", Document.sequence(recent))
+            .withTexts(ZONE_CHANGES, changes)
+            .build());
+  }
+
+  /** Returns the digest of {@link #toBytes()}. */
+  public Digest digest() {
+    return Digest.of(toBytes());
+  }
+
+  // -- Object
+
+  @Override
+  public String toString() {
+    return "Configuration(version " + version + ", " + all().count() + " resources)";
+  }
+}
--- /dev/null
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Contract.java
@@ -0,0 +1,88 @@
+package org.parsleycart.model;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.stream.Stream;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.Durations;
+import org.parsleycart.model.document.MappingReader;
+
+/**
+ * What callers of a route may rely on.
+ *
+ * @param name the name
+ * @param requestKind the nature of the requests
+ * @param deadline the time after which an answer is of no use
+ * @param latencyObjective the time above which an answer counts as slow
+ * @param maximumAttempts the most times that one call is tried, at least 1
+ */
+public record Contract(
+    String name,
+    RequestKind requestKind,
+    Duration deadline,
+    Duration latencyObjective,
+    int maximumAttempts)
+    implements Resource {
+  private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(2);
+  private static final long MAXIMUM_ATTEMPTS = 5;
+  private static final long DEFAULT_ATTEMPTS = 3;
+  private static final Duration LONGEST_DEADLINE = Duration.ofMinutes(5);
+
+  // -- construction
+
+  public Contract {
+    requireNonNull(name, "name is null");
+    requireNonNull(requestKind, "requestKind is null");
+    requireNonNull(deadline, "deadline is null");
+    requireNonNull(latencyObjective, "latencyObjective is null");
+  }
+
+  static Contract from(MappingReader reader) {
+    Duration deadline = reader.duration("deadline").orElse(DEFAULT_DEADLINE);
+    return new Contract(
+        reader.requiredName("name"),
+        kindFrom(reader),
+        deadline,
+        reader.duration("latencyObjective").orElse(deadline),
+        reader.number("maximumAttempts", 1, MAXIMUM_ATTEMPTS).orElse(DEFAULT_ATTEMPTS).intValue());
+  }
+
+  private static RequestKind kindFrom(MappingReader reader) {
+    if (!reader.has("kind")) {
+      reader.report("kind", "nothing", "the kind of request");
+    }
+    return reader.constant("kind", RequestKind.class).orElse(RequestKind.NON_IDEMPOTENT_WRITE);
+  }
+
+  // -- Resource
+
+  @Override
+  public ResourceKind kind() {
+    return ResourceKind.CONTRACT;
+  }
+
+  @Override
+  public Document.Mapping toDocument() {
+    return Document.mapping()
+        .with("name", name)
+        .with("kind", requestKind.toString())
+        .with("deadline", Durations.format(deadline))
+        .with("latencyObjective", Durations.format(latencyObjective))
+        .with("maximumAttempts", maximumAttempts)
+        .build();
+  }
+
+  @Override
+  public Stream<Violation> violations(Configuration configuration) {
+    Stream<Violation> objective =
+        latencyObjective.compareTo(deadline) > 0
+            ? Stream.of(violation("latencyObjective above deadline", "at most the deadline"))
+            : Stream.empty();
+    Stream<Violation> longest =
+        deadline.compareTo(LONGEST_DEADLINE) > 0
+            ? Stream.of(violation("deadline " + deadline, "at most " + LONGEST_DEADLINE))
+            : Stream.empty();
+    return Stream.concat(objective, longest);
+  }
+}
--- /dev/null
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Service.java
@@ -0,0 +1,65 @@
+package org.parsleycart.model;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+
+/**
+ * A service that upstreams offer.
+ *
+ * @param name the name under which upstreams announce themselves
+ * @param version the version that takes all traffic outside rollouts
+ * @param labels the labels that selectors match, beside {@code name}
+ */
+public record Service(String name, String version, Map<String, String> labels) implements Resource {
+
+  // -- construction
+
+  public Service {
+    requireNonNull(name, "name is null");
+    requireNonNull(version, "version is null");
+    labels = Map.copyOf(labels);
+  }
+
+  static Service from(MappingReader reader) {
+    return new Service(
+        reader.requiredName("name"), reader.requiredName("version"), reader.texts("labels"));
+  }
+
+  /** Returns this service with another version in charge of all traffic. */
+  public Service withVersion(String newVersion) {
+    return new Service(name, newVersion, labels);
+  }
+
+  // -- queries
+
+  /** Returns the labels with the name among them. */
+  public Map<String, String> selectableLabels() {
+    return Labels.withName(labels, name);
+  }
+
+  // -- Resource
+
+  @Override
+  public ResourceKind kind() {
+    return ResourceKind.SERVICE;
+  }
+
+  @Override
+  public Document.Mapping toDocument() {
+    return Document.mapping()
+        .with("name", name)
+        .with("version", version)
+        .withTexts("labels", new TreeMap<>(labels))
+        .build();
+  }
+
+  @Override
+  public Stream<Violation> violations(Configuration configuration) {
+    return Stream.empty();
+  }
+}
--- /dev/null
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/Document.java
@@ -0,0 +1,125 @@
+package org.parsleycart.model.document;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A tree of mappings, sequences and scalars in which every node knows its place.
+ *
+ * <pre>{@code
+ * Document.Mapping zone = Document.mapping().with("name", "abdali").build();
+ * }</pre>
+ */
+public sealed interface Document {
+
+  /** Returns where this node stands in its source. */
+  Place place();
+
+  /** Returns a short description of this node for messages, such as {@code "a list"}. */
+  String description();
+
+  /** A node with named entries in the order of the source. */
+  record Mapping(Place place, Map<String, Document> entries) implements Document {
+
+    public Mapping {
+      requireNonNull(place, "place is null");
+      entries = Collections.unmodifiableMap(new LinkedHashMap<>(entries));
+    }
+
+    @Override
+    public String description() {
+      return "a mapping";
+    }
+  }
+
+  /** A node with items in order. */
+  record Sequence(Place place, List<Document> items) implements Document {
+
+    public Sequence {
+      requireNonNull(place, "place is null");
+      items = List.copyOf(items);
+    }
+
+    @Override
+    public String description() {
+      return "a list";
+    }
+  }
+
+  /** A leaf: a text, a whole number ({@code Long}), a {@code Double} or a {@code Boolean}. */
+  record Scalar(Place place, Object value) implements Document {
+
+    public Scalar {
+      requireNonNull(place, "place is null");
+      requireNonNull(value, "value is null");
+    }
+
+    @Override
+    public String description() {
+      return value instanceof String ? "\"" + value + "\"" : value.toString();
+    }
+  }
+
+  // -- construction
+
+  /** Returns a builder of a mapping made by the program, which has no place in a source. */
+  static MappingBuilder mapping() {
+    return new MappingBuilder();
+  }
+
+  /** Returns a sequence made by the program. */
+  static Sequence sequence(List<? extends Document> items) {
+    return new Sequence(Place.ofRoot("memory"), new ArrayList<>(items));
+  }
+
+  /** Returns a sequence of texts made by the program. */
+  static Sequence texts(Iterable<String> values) {
+    List<Document> items = new ArrayList<>();
+    values.forEach(value -> items.add(scalar(value)));
+    return sequence(items);
+  }
+
+  /** Returns a scalar made by the program; integers are widened to {@code Long}. */
+  static Scalar scalar(Object value) {
+    Object widened = value instanceof Integer number ? Long.valueOf(number) : value;
+    return new Scalar(Place.ofRoot("memory"), widened);
+  }
+
+  /** Collects the entries of a mapping. */
+  final class MappingBuilder {
+    private final Map<String, Document> entries = new LinkedHashMap<>();
+
+    private MappingBuilder() {}
+
+    /** Adds a scalar entry. */
+    public MappingBuilder with(String key, Object value) {
+      return with(key, scalar(value));
+    }
+
+    /** Adds an entry. */
+    public MappingBuilder with(String key, Document value) {
+      entries.put(key, value);
+      return this;
+    }
+
+    /** Adds a mapping of texts, unless it is empty. */
+    public MappingBuilder withTexts(String key, Map<String, String> values) {
+      if (values.isEmpty()) {
+        return this;
+      }
+      MappingBuilder nested = new MappingBuilder();
+      values.forEach(nested::with);
+      return with(key, nested.build());
+    }
+
+    /** Returns the mapping. */
+    public Mapping build() {
+      return new Mapping(Place.ofRoot("memory"), entries);
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/Durations.java
@@ -0,0 +1,49 @@
+package org.parsleycart.model.document;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The text form of durations in settings, configurations and commands. */
+public final class Durations {
+  private static final Pattern FORM = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
+  private static final Map<String, Duration> UNITS =
+      Map.of(
+          "ms", Duration.ofMillis(1),
+          "s", Duration.ofSeconds(1),
+          "m", Duration.ofMinutes(1),
+          "h", Duration.ofHours(1));
+
+  private Durations() {}
+
+  /**
+   * Parses a duration.
+   *
+   * <pre>{@code
+   * Durations.parse("250ms") // Optional[PT0.25S]
+   * }</pre>
+   *
+   * @param text a whole number followed by ms, s, m or h
+   * @return the duration, or empty when the text has another form or means zero
+   */
+  public static Optional<Duration> parse(String text) {
+    requireNonNull(text, "text is null");
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      return Optional.empty();
+    }
+    Duration unit = UNITS.get(matcher.group(2));
+    Duration duration = unit.multipliedBy(Long.parseLong(matcher.group(1)));
+    return duration.isZero() ? Optional.empty() : Optional.of(duration);
+  }
+
+  /** Returns the text form of a duration, in milliseconds. */
+  public static String format(Duration duration) {
+    requireNonNull(duration, "duration is null");
+    return duration.toMillis() + "ms";
+  }
+}
--- /dev/null
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
@@ -0,0 +1,242 @@
+package org.parsleycart.model.document;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/**
+ * Reads the entries of one mapping and collects every fault instead of stopping at the first.
+ *
+ * <p>Each read takes note of its key; {@link #finish()} reports the keys that nobody read. A read
+ * that fails returns a harmless value, so that reading goes on; callers look at the problem list
+ * before they use what they read.
+ */
+public final class MappingReader {
+  private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9.\\-]{0,61}[a-z0-9])?");
+  private static final String NAME_WANTED =
+      "a name of at most 63 small letters, digits, '-' and '.'";
+
+  private final Document.Mapping mapping;
+  private final List<Problem> problems;
+  private final Set<String> known = new HashSet<>();
+
+  // -- construction
+
+  private MappingReader(Document.Mapping mapping, List<Problem> problems) {
+    this.mapping = mapping;
+    this.problems = problems;
+  }
+
+  /**
+   * Returns a reader over the given node.
+   *
+   * @param document the node, which should be a mapping
+   * @param problems the list that takes every fault
+   * @return a reader, over an empty mapping when the node is of another shape
+   */
+  public static MappingReader of(Document document, List<Problem> problems) {
+    requireNonNull(document, "document is null");
+    requireNonNull(problems, "problems is null");
+    if (document instanceof Document.Mapping found) {
+      return new MappingReader(found, problems);
+    }
+    problems.add(new Problem(document.place(), document.description(), "a mapping"));
+    return new MappingReader(new Document.Mapping(document.place(), Map.of()), problems);
+  }
+
+  /**
+   * Returns a reader that gives names to the items of a list.
+   *
+   * @param document the node, which should be a list with as many items as there are keys
+   * @param keys the names of the items in order
+   * @param problems the list that takes every fault
+   */
+  public static MappingReader ofItems(
+      Document document, List<String> keys, List<Problem> problems) {
+    requireNonNull(keys, "keys is null");
+    if (document instanceof Document.Sequence list && list.items().size() == keys.size()) {
+      Map<String, Document> entries = new LinkedHashMap<>();
+      keys.forEach(key -> entries.put(key, list.items().get(entries.size())));
+      return new MappingReader(new Document.Mapping(document.place(), entries), problems);
+    }
+    problems.add(new Problem(document.place(), document.description(), "the list " + keys));
+    return new MappingReader(new Document.Mapping(document.place(), Map.of()), problems);
+  }
+
+  // -- queries
+
+  /** Returns the place of the mapping. */
+  public Place place() {
+    return mapping.place();
+  }
+
+  /** Returns whether the key is present. */
+  public boolean has(String key) {
+    return mapping.entries().containsKey(key);
+  }
+
+  /** Returns the node under the key. */
+  public Optional<Document> document(String key) {
+    known.add(key);
+    return Optional.ofNullable(mapping.entries().get(key));
+  }
+
+  /** Returns the text under the key; a number or boolean is taken as its text. */
+  public Optional<String> text(String key) {
+    return scalar(key, "a text", value -> Optional.of(value.toString()));
+  }
+
+  /** Returns the text under the key, or reports that it is missing and returns an empty text. */
+  public String requiredText(String key) {
+    return required(key, "a text", text(key), "");
+  }
+
+  /** Returns the name under the key, or reports it and returns a stand-in. */
+  public String requiredName(String key) {
+    String name = requiredText(key);
+    if (!name.isEmpty() && !NAME.matcher(name).matches()) {
+      report(key, "\"" + name + "\"", NAME_WANTED);
+    }
+    return name;
+  }
+
+  /** Returns the whole number under the key, within the given bounds. */
+  public Optional<Long> number(String key, long minimum, long maximum) {
+    String wanted = "a whole number from " + minimum + " to " + maximum;
+    return scalar(
+        key,
+        wanted,
+        value ->
+            value instanceof Long number && number >= minimum && number <= maximum
+                ? Optional.of(number)
+                : Optional.empty());
+  }
+
+  /** Returns the whole number under the key, or reports that it is missing. */
+  public long requiredNumber(String key, long minimum, long maximum) {
+    return required(key, "a whole number", number(key, minimum, maximum), minimum);
+  }
+
+  /** Returns the truth value under the key. */
+  public Optional<Boolean> flag(String key) {
+    return scalar(
+        key,
+        "true or false",
+        value -> value instanceof Boolean flag ? Optional.of(flag) : Optional.empty());
+  }
+
+  /** Returns the duration under the key, such as {@code 250ms}, {@code 2s} or {@code 10m}. */
+  public Optional<Duration> duration(String key) {
+    return scalar(
+        key,
+        "a duration above zero such as 250ms, 2s, 10m or 1h",
+        value -> Durations.parse(value.toString()));
+  }
+
+  /** Returns the constant whose {@code toString} stands under the key. */
+  public <E extends Enum<E>> Optional<E> constant(String key, Class<E> type) {
+    List<E> constants = List.of(type.getEnumConstants());
+    String wanted = "one of " + constants.stream().map(Object::toString).toList();
+    return scalar(
+        key,
+        wanted,
+        value -> constants.stream().filter(c -> c.toString().equals(value.toString())).findFirst());
+  }
+
+  /** Returns the mapping of texts under the key, empty when absent. */
+  public Map<String, String> texts(String key) {
+    Optional<Document> node = document(key);
+    if (node.isEmpty()) {
+      return Map.of();
+    }
+    MappingReader nested = MappingReader.of(node.get(), problems);
+    Map<String, String> result = new TreeMap<>();
+    nested.mapping.entries().keySet().forEach(k -> result.put(k, nested.requiredText(k)));
+    return Collections.unmodifiableMap(result);
+  }
+
+  /** Returns a reader over the mapping under the key. */
+  public Optional<MappingReader> nested(String key) {
+    return document(key).map(node -> MappingReader.of(node, problems));
+  }
+
+  /** Returns the items of the list under the key, each read by the given function. */
+  public <T> List<T> items(String key, Function<Document, T> reader) {
+    Optional<Document> node = document(key);
+    if (node.isEmpty()) {
+      return List.of();
+    }
+    if (node.get() instanceof Document.Sequence sequence) {
+      return sequence.items().stream().map(reader).toList();
+    }
+    problems.add(new Problem(node.get().place(), node.get().description(), "a list"));
+    return List.of();
+  }
+
+  /** Returns the texts of the list under the key. */
+  public List<String> textItems(String key) {
+    List<String> result = new ArrayList<>();
+    for (Document item : items(key, Function.identity())) {
+      if (item instanceof Document.Scalar scalar) {
+        result.add(scalar.value().toString());
+      } else {
+        problems.add(new Problem(item.place(), item.description(), "a text"));
+      }
+    }
+    return result;
+  }
+
+  // -- reporting
+
+  /** Reports a fault at the entry with the given key. */
+  public void report(String key, String found, String wanted) {
+    Document node = mapping.entries().get(key);
+    Place place = node == null ? place().child(key, place().line()) : node.place();
+    problems.add(new Problem(place, found, wanted));
+  }
+
+  /** Reports every key that has not been read. */
+  public void finish() {
+    mapping.entries().forEach((key, node) -> reportUnknown(key, node.place()));
+  }
+
+  private void reportUnknown(String key, Place place) {
+    if (!known.contains(key)) {
+      String wanted = known.stream().sorted().toList().toString();
+      problems.add(new Problem(place, "the unknown key \"" + key + "\"", "one of " + wanted));
+    }
+  }
+
+  private <T> T required(String key, String wanted, Optional<T> value, T otherwise) {
+    if (value.isEmpty() && !has(key)) {
+      report(key, "nothing", wanted);
+    }
+    return value.orElse(otherwise);
+  }
+
+  private <T> Optional<T> scalar(String key, String wanted, Function<Object, Optional<T>> parse) {
+    Optional<Document> node = document(key);
+    if (node.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<T> value =
+        node.get() instanceof Document.Scalar scalar
+            ? parse.apply(scalar.value())
+            : Optional.empty();
+    if (value.isEmpty()) {
+      report(key, node.get().description(), wanted);
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/Problem.java
@@ -0,0 +1,28 @@
+package org.parsleycart.model.document;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * One fault found in a document.
+ *
+ * @param place where the fault stands
+ * @param found what stands there
+ * @param wanted what is accepted there
+ */
+public record Problem(Place place, String found, String wanted) {
+
+  // -- construction
+
+  public Problem {
+    requireNonNull(place, "place is null");
+    requireNonNull(found, "found is null");
+    requireNonNull(wanted, "wanted is null");
+  }
+
+  // -- Object
+
+  @Override
+  public String toString() {
+    return place + ": found " + found + ", wanted " + wanted;
+  }
+}
--- /dev/null
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/YamlDocuments.java
@@ -0,0 +1,144 @@
+package org.parsleycart.model.document;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.yaml.snakeyaml.DumperOptions;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.constructor.SafeConstructor;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
+import org.yaml.snakeyaml.error.YAMLException;
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+import org.yaml.snakeyaml.nodes.SequenceNode;
+import org.yaml.snakeyaml.nodes.Tag;
+import org.yaml.snakeyaml.representer.Representer;
+
+/** Reads and writes documents as YAML; JSON, which YAML contains, is read by the same means. */
+public final class YamlDocuments {
+  private static final int MAXIMUM_CODE_POINTS = 16 * 1024 * 1024;
+  private static final int MAXIMUM_DEPTH = 32;
+
+  private YamlDocuments() {}
+
+  // -- reading
+
+  /**
+   * Parses one YAML document.
+   *
+   * @param source the name of the file, used in places
+   * @param text the YAML text; anchors and aliases are refused
+   * @return the document, or every fault of its form
+   */
+  public static Either<List<Problem>, Document> parse(String source, String text) {
+    requireNonNull(source, "source is null");
+    requireNonNull(text, "text is null");
+    Place root = Place.ofRoot(source);
+    try {
+      Node node = new Yaml(loaderOptions()).compose(new StringReader(text));
+      return node == null
+          ? Either.left(List.of(new Problem(root, "an empty document", "a mapping")))
+          : convert(root, node);
+    } catch (MarkedYAMLException e) {
+      int line = e.getProblemMark() == null ? 0 : e.getProblemMark().getLine() + 1;
+      Problem problem = new Problem(new Place(source, line, ""), e.getProblem(), "valid YAML");
+      return Either.left(List.of(problem));
+    } catch (YAMLException e) {
+      return Either.left(List.of(new Problem(root, e.getMessage(), "valid YAML")));
+    }
+  }
+
+  private static LoaderOptions loaderOptions() {
+    LoaderOptions options = new LoaderOptions();
+    options.setMaxAliasesForCollections(0);
+    options.setNestingDepthLimit(MAXIMUM_DEPTH);
+    options.setCodePointLimit(MAXIMUM_CODE_POINTS);
+    return options;
+  }
+
+  private static Either<List<Problem>, Document> convert(Place root, Node node) {
+    List<Problem> problems = new ArrayList<>();
+    Document document = toDocument(root, node, problems);
+    return problems.isEmpty() ? Either.right(document) : Either.left(problems);
+  }
+
+  private static Document toDocument(Place place, Node node, List<Problem> problems) {
+    Place here = new Place(place.source(), node.getStartMark().getLine() + 1, place.path());
+    if (node instanceof MappingNode mapping) {
+      return toMapping(here, mapping, problems);
+    }
+    if (node instanceof SequenceNode sequence) {
+      return toSequence(here, sequence, problems);
+    }
+    return toScalar(here, (ScalarNode) node);
+  }
+
+  private static Document toMapping(Place here, MappingNode mapping, List<Problem> problems) {
+    Map<String, Document> entries = new LinkedHashMap<>();
+    for (NodeTuple tuple : mapping.getValue()) {
+      int line = tuple.getKeyNode().getStartMark().getLine() + 1;
+      String key = tuple.getKeyNode() instanceof ScalarNode scalar ? scalar.getValue() : "?";
+      Place child = here.child(key, line);
+      Document value = toDocument(child, tuple.getValueNode(), problems);
+      if (entries.put(key, value) != null) {
+        problems.add(new Problem(child, "the key \"" + key + "\" again", "each key once"));
+      }
+    }
+    return new Document.Mapping(here, entries);
+  }
+
+  private static Document toSequence(Place here, SequenceNode sequence, List<Problem> problems) {
+    List<Document> items = new ArrayList<>();
+    for (Node item : sequence.getValue()) {
+      int line = item.getStartMark().getLine() + 1;
+      items.add(toDocument(here.item(items.size(), line), item, problems));
+    }
+    return new Document.Sequence(here, items);
+  }
+
+  private static Document toScalar(Place here, ScalarNode scalar) {
+    String text = scalar.getValue();
+    Tag tag = scalar.getTag();
+    if (Tag.BOOL.equals(tag) && (text.equals("true") || text.equals("false"))) {
+      return new Document.Scalar(here, Boolean.valueOf(text));
+    }
+    if (Tag.INT.equals(tag) && text.matches("-?[0-9]{1,18}")) {
+      return new Document.Scalar(here, Long.valueOf(text));
+    }
+    if (Tag.FLOAT.equals(tag) && text.matches("-?[0-9]+\\.[0-9]+")) {
+      return new Document.Scalar(here, Double.valueOf(text));
+    }
+    return new Document.Scalar(here, text);
+  }
+
+  // -- writing
+
+  /** Returns the YAML text of a document. */
+  public static String format(Document document) {
+    requireNonNull(document, "document is null");
+    DumperOptions options = new DumperOptions();
+    options.setDefaultFlowStyle(DumperOptions.FlowStyle.BLOCK);
+    Yaml yaml = new Yaml(new SafeConstructor(loaderOptions()), new Representer(options), options);
+    return yaml.dump(toPlain(document));
+  }
+
+  private static Object toPlain(Document document) {
+    if (document instanceof Document.Mapping mapping) {
+      Map<String, Object> plain = new LinkedHashMap<>();
+      mapping.entries().forEach((key, value) -> plain.put(key, toPlain(value)));
+      return plain;
+    }
+    if (document instanceof Document.Sequence sequence) {
+      return sequence.items().stream().map(YamlDocuments::toPlain).toList();
+    }
+    return ((Document.Scalar) document).value();
+  }
+}
--- /dev/null
+++ b/parsleycart-platform/src/main/java/org/parsleycart/platform/ConfigurationStore.java
@@ -0,0 +1,304 @@
+package org.parsleycart.platform;
+
+import static java.util.Objects.requireNonNull;
+
+import io.vavr.control.Either;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.parsleycart.decision.message.Head;
+import org.parsleycart.decision.message.SnapshotBytes;
+import org.parsleycart.decision.message.VersionedChange;
+import org.parsleycart.decision.spreading.ConfigurationLog;
+import org.parsleycart.link.ChangeCodec;
+import org.parsleycart.model.Configuration;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.ResourceReference;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.model.document.MessagePackDocuments;
+import org.parsleycart.model.document.Problem;
+
+/**
+ * The accepted configuration on the platform: one row for each version, inserted if absent, and a
+ * snapshot object every so many versions.
+ *
+ * <p>Version n + 1 is accepted exactly when its row exists. Any number of daemons may accept at
+ * once; the insert decides. An answer that was lost is resolved by reading the row.
+ */
+public final class ConfigurationStore {
+  /** A snapshot is written at every multiple of this many versions. */
+  static final long SNAPSHOT_INTERVAL = 64;
+
+  /** Rows read from the platform at once. */
+  static final int ROWS_PER_SCAN = 64;
+
+  private static final int MOST_ATTEMPTS = 8;
+  private static final String ROW_PREFIX = "configuration/";
+  private static final String SNAPSHOT_POINTER = "configuration-snapshot";
+  private static final String SNAPSHOT_PREFIX = "configuration-snapshot/";
+
+  private final Platform platform;
+  private final ConfigurationLog log;
+  private final InstantSource clock;
+
+  // -- construction
+
+  /**
+   * Creates the store.
+   *
+   * @param platform holds the rows and snapshots
+   * @param log takes every version read or accepted
+   * @param clock stamps accepted versions
+   */
+  public ConfigurationStore(Platform platform, ConfigurationLog log, InstantSource clock) {
+    this.platform = requireNonNull(platform, "platform is null");
+    this.log = requireNonNull(log, "log is null");
+    this.clock = requireNonNull(clock, "clock is null");
+  }
+
+  // -- acceptance
+
+  /**
+   * Accepts a change, whose versions in between must not touch the same resources.
+   *
+   * @param change the change; one with an identifier accepted before is not accepted again
+   * @param basedOn the version that the author saw, or empty for the newest
+   * @return the version that the change became, or why it was not accepted
+   */
+  public Either<AcceptanceError, Long> accept(ConfigurationChange change, Optional<Long> basedOn) {
+    requireNonNull(change, "change is null");
+    Optional<Long> base = basedOn;
+    for (int attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+      Either<PlatformError, Integer> caughtUp = catchUp();
+      if (caughtUp.isLeft()) {
+        return Either.left(new AcceptanceError.Unavailable(caughtUp.getLeft()));
+      }
+      Configuration current = log.current();
+      Optional<Long> accepted = current.versionOf(change.identifier());
+      if (accepted.isPresent()) {
+        return Either.right(accepted.get());
+      }
+      Optional<AcceptanceError> conflict =
+          base.flatMap(version -> conflictSince(version, change, current));
+      if (conflict.isPresent()) {
+        return Either.left(conflict.get());
+      }
+      base = Optional.of(base.orElse(current.version()));
+      Either<AcceptanceError, Optional<Long>> result = insert(change, current);
+      if (result.isLeft()) {
+        return Either.left(result.getLeft());
+      }
+      if (result.get().isPresent()) {
+        return Either.right(result.get().get());
+      }
+    }
+    return Either.left(new AcceptanceError.Conflict(log.current().version(), "too many racers"));
+  }
+
+  private Either<AcceptanceError, Optional<Long>> insert(
+      ConfigurationChange change, Configuration current) {
+    return current
+        .apply(change)
+        .mapLeft(violations -> (AcceptanceError) new AcceptanceError.Invalid(violations))
+        .flatMap(next -> insertNext(change, next));
+  }
+
+  private Either<AcceptanceError, Optional<Long>> insertNext(
+      ConfigurationChange change, Configuration next) {
+    long version = next.version();
+    VersionedChange accepted = new VersionedChange(version, clock.millis(), change, next.digest());
+    Either<PlatformError, Boolean> inserted =
+        platform.table().insertIfAbsent(rowKey(version), ChangeCodec.toBytes(accepted));
+    if (inserted.isLeft()) {
+      return resolve(change, version, inserted.getLeft());
+    }
+    if (!inserted.get()) {
+      return Either.right(Optional.empty());
+    }
+    log.append(accepted);
+    writeSnapshotWhenDue(next);
+    return Either.right(Optional.of(version));
+  }
+
+  private Either<AcceptanceError, Optional<Long>> resolve(
+      ConfigurationChange change, long version, PlatformError error) {
+    if (error instanceof PlatformError.Unreachable) {
+      return Either.left(new AcceptanceError.Unavailable(error));
+    }
+    Either<PlatformError, Optional<Row>> row = platform.table().read(rowKey(version));
+    if (row.isLeft()) {
+      return Either.left(new AcceptanceError.Unknown(change.identifier(), row.getLeft()));
+    }
+    Optional<VersionedChange> held =
+        row.get().flatMap(found -> ChangeCodec.from(found.value()).toJavaOptional());
+    if (held.isPresent() && held.get().change().identifier().equals(change.identifier())) {
+      log.append(held.get());
+      return Either.right(Optional.of(version));
+    }
+    return Either.right(Optional.empty());
+  }
+
+  private Optional<AcceptanceError> conflictSince(
+      long base, ConfigurationChange change, Configuration current) {
+    if (base >= current.version()) {
+      return Optional.empty();
+    }
+    List<VersionedChange> between =
+        log.recentChanges().stream().filter(each -> each.version() > base).toList();
+    boolean allKnown = !between.isEmpty() && between.get(0).version() == base + 1;
+    if (!allKnown) {
+      return Optional.of(
+          new AcceptanceError.Conflict(current.version(), "version " + base + " is too old"));
+    }
+    Set<ResourceReference> touched = change.touched();
+    return between.stream()
+        .filter(each -> each.change().touched().stream().anyMatch(touched::contains))
+        .findFirst()
+        .map(each -> conflict(each, touched));
+  }
+
+  private static AcceptanceError conflict(VersionedChange other, Set<ResourceReference> touched) {
+    Set<ResourceReference> both = new HashSet<>(other.change().touched());
+    both.retainAll(touched);
+    return new AcceptanceError.Conflict(
+        other.version(), other.change().author() + " changed " + both);
+  }
+
+  // -- reading
+
+  /** Reads all versions that the log lacks; returns how many took effect. */
+  public Either<PlatformError, Integer> catchUp() {
+    int applied = 0;
+    while (true) {
+      long before = log.current().version();
+      Either<PlatformError, List<Row>> rows =
+          platform.table().scan(ROW_PREFIX, rowKey(before), ROWS_PER_SCAN);
+      if (rows.isLeft()) {
+        return Either.left(rows.getLeft());
+      }
+      if (rows.get().isEmpty()) {
+        return Either.right(applied);
+      }
+      Either<PlatformError, Integer> step = apply(rows.get());
+      if (step.isLeft()) {
+        return step;
+      }
+      applied += step.get();
+      if (log.current().version() == before) {
+        return Either.left(new PlatformError.Unexpected("no progress after version " + before));
+      }
+    }
+  }
+
+  private Either<PlatformError, Integer> apply(List<Row> rows) {
+    int applied = 0;
+    for (Row row : rows) {
+      Either<List<Problem>, VersionedChange> parsed = ChangeCodec.from(row.value());
+      if (parsed.isLeft()) {
+        return Either.left(
+            new PlatformError.Unexpected("row " + row.key() + ": " + parsed.getLeft()));
+      }
+      boolean appended = log.append(parsed.get()).isRight();
+      if (!appended) {
+        return readSnapshot();
+      }
+      applied++;
+    }
+    return Either.right(applied);
+  }
+
+  // -- snapshots
+
+  private Either<PlatformError, Integer> readSnapshot() {
+    return platform
+        .table()
+        .read(SNAPSHOT_POINTER)
+        .flatMap(
+            row ->
+                row.map(found -> readSnapshot(found.value()))
+                    .orElseGet(() -> Either.left(new PlatformError.Unexpected("no snapshot"))));
+  }
+
+  private Either<PlatformError, Integer> readSnapshot(byte[] pointer) {
+    Optional<Head> head = MessagePackDocuments.parse(pointer).toJavaOptional().map(this::headFrom);
+    if (head.isEmpty()) {
+      return Either.left(new PlatformError.Unexpected("unreadable snapshot pointer"));
+    }
+    return platform
+        .objects()
+        .get(SNAPSHOT_PREFIX + head.get().version())
+        .flatMap(
+            bytes ->
+                bytes
+                    .map(found -> takeSnapshot(head.get(), found))
+                    .orElseGet(() -> Either.left(new PlatformError.Unexpected("lost snapshot"))));
+  }
+
+  private Head headFrom(Document document) {
+    MappingReader reader = MappingReader.of(document, new ArrayList<>());
+    return new Head(
+        reader.requiredNumber("version", 0, Long.MAX_VALUE), reader.requiredText("digest"));
+  }
+
+  private Either<PlatformError, Integer> takeSnapshot(Head head, byte[] bytes) {
+    return log.receiveSnapshot(head, SnapshotBytes.of(bytes))
+        .mapLeft(error -> new PlatformError.Unexpected(error.message()));
+  }
+
+  private void writeSnapshotWhenDue(Configuration configuration) {
+    if (configuration.version() % SNAPSHOT_INTERVAL != 0) {
+      return;
+    }
+    String name = SNAPSHOT_PREFIX + configuration.version();
+    platform
+        .objects()
+        .put(name, configuration.toBytes())
+        .flatMap(written -> movePointer(configuration))
+        .peek(moved -> compact(configuration.version()));
+  }
+
+  private Either<PlatformError, Boolean> movePointer(Configuration configuration) {
+    byte[] pointer =
+        MessagePackDocuments.format(
+            Document.mapping()
+                .with("version", configuration.version())
+                .with("digest", configuration.digest().hexadecimal())
+                .build());
+    return platform
+        .table()
+        .read(SNAPSHOT_POINTER)
+        .flatMap(
+            row -> {
+              if (row.isEmpty()) {
+                return platform.table().insertIfAbsent(SNAPSHOT_POINTER, pointer);
+              }
+              long held =
+                  MessagePackDocuments.parse(row.get().value())
+                      .map(document -> headFrom(document).version())
+                      .getOrElse(0L);
+              return held >= configuration.version()
+                  ? Either.right(false)
+                  : platform.table().compareAndSet(SNAPSHOT_POINTER, row.get().revision(), pointer);
+            });
+  }
+
+  private void compact(long snapshotVersion) {
+    long keepFrom = snapshotVersion - SNAPSHOT_INTERVAL + 1;
+    platform
+        .table()
+        .scan(ROW_PREFIX, "", (int) SNAPSHOT_INTERVAL)
+        .peek(
+            rows ->
+                rows.stream()
+                    .filter(row -> row.key().compareTo(rowKey(keepFrom)) < 0)
+                    .forEach(row -> platform.table().delete(row.key(), row.revision())));
+  }
+
+  static String rowKey(long version) {
+    return ROW_PREFIX + String.format("%012d", version);
+  }
+}
--- /dev/null
+++ b/parsleycart-platform/src/main/java/org/parsleycart/platform/Platform.java
@@ -0,0 +1,24 @@
+package org.parsleycart.platform;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * The two services of the platform.
+ *
+ * @param table the transactional table
+ * @param objects the object store
+ */
+public record Platform(TransactionalTable table, ObjectStore objects) {
+
+  // -- construction
+
+  public Platform {
+    requireNonNull(table, "table is null");
+    requireNonNull(objects, "objects is null");
+  }
+
+  /** Returns a platform that lives in the memory of this process. */
+  public static Platform embedded() {
+    return new Platform(new EmbeddedTable(), new EmbeddedObjectStore());
+  }
+}
--- /dev/null
+++ b/parsleycart-standin/src/main/java/org/parsleycart/standin/StandinMain.java
@@ -0,0 +1,171 @@
+package org.parsleycart.standin;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.parsleycart.link.Addresses;
+import org.parsleycart.link.LibraryLogs;
+import org.parsleycart.link.http.HttpClient;
+import org.parsleycart.model.document.JsonDocuments;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Runs single stand-ins as processes, for trial runs. */
+@Command(
+    name = "parsleycart-standin",
+    description = "Runs stand-ins of the platform, of upstreams and of callers.",
+    mixinStandardHelpOptions = true,
+    subcommands = {
+      StandinMain.PlatformCommand.class,
+      StandinMain.UpstreamCommand.class,
+      StandinMain.CallsCommand.class,
+      StandinMain.PortsCommand.class
+    })
+public final class StandinMain {
+
+  // -- start
+
+  /** Runs the command and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    LibraryLogs.onlyWarnings();
+    System.exit(new CommandLine(new StandinMain()).execute(arguments));
+  }
+
+  private static InetSocketAddress address(String text) {
+    return Addresses.parse(text)
+        .orElseThrow(() -> new IllegalArgumentException(text + " is no IP number and port"));
+  }
+
+  private static void runUntilStopped(AutoCloseable resource) throws InterruptedException {
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  try {
+                    resource.close();
+                  } catch (Exception e) {
+                    System.err.println("did not close: " + e.getMessage());
+                  }
+                  stopped.countDown();
+                }));
+    stopped.await();
+  }
+
+  /** Runs a platform. */
+  @Command(name = "platform", description = "Runs a platform.", mixinStandardHelpOptions = true)
+  static final class PlatformCommand implements Callable<Integer> {
+    @Option(names = "--listen", required = true, description = "IP number and port.")
+    private String listen;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      runUntilStopped(PlatformStandin.start(address(listen)));
+      return 0;
+    }
+  }
+
+  /** Runs an upstream. */
+  @Command(name = "upstream", description = "Runs an upstream.", mixinStandardHelpOptions = true)
+  static final class UpstreamCommand implements Callable<Integer> {
+    @Option(names = "--name", required = true, description = "Its identifier.")
+    private String name;
+
+    @Option(names = "--service", required = true, description = "The service it offers.")
+    private String service;
+
+    @Option(names = "--release", required = true, description = "The version it runs.")
+    private String version;
+
+    @Option(names = "--slots", defaultValue = "20", description = "Calls at once.")
+    private int slots;
+
+    @Option(names = "--latency-milliseconds", defaultValue = "2", description = "Time per call.")
+    private long latency;
+
+    @Option(names = "--warm-up-milliseconds", defaultValue = "0", description = "Cold start.")
+    private long warmUp;
+
+    @Option(names = "--failing", description = "Answer every request with a failure.")
+    private boolean failing;
+
+    @Option(names = "--listen", required = true, description = "IP number and port.")
+    private String listen;
+
+    @Option(names = "--daemon", required = true, description = "Operators' address of the daemon.")
+    private String daemon;
+
+    @Override
+    public Integer call() throws InterruptedException {
+      UpstreamModel model =
+          new UpstreamModel(
+              slots, Duration.ofMillis(latency), Duration.ofMillis(warmUp), InstantSource.system());
+      UpstreamStandin standin = UpstreamStandin.start(name, version, model, address(listen));
+      standin.setFailing(failing);
+      Announcer announcer =
+          Announcer.start(HttpClient.start(1), daemon, name, service, version, slots, listen);
+      runUntilStopped(
+          () -> {
+            announcer.close();
+            standin.close();
+          });
+      return 0;
+    }
+  }
+
+  /** Sends calls. */
+  @Command(name = "calls", description = "Sends calls.", mixinStandardHelpOptions = true)
+  static final class CallsCommand implements Callable<Integer> {
+    @Option(names = "--entries", split = ",", required = true, description = "Entry addresses.")
+    private List<String> entries;
+
+    @Option(names = "--path", required = true, description = "The path called.")
+    private String path;
+
+    @Option(names = "--rate", defaultValue = "100", description = "Calls a second.")
+    private double rate;
+
+    @Option(names = "--seconds", defaultValue = "5", description = "How long.")
+    private long seconds;
+
+    @Option(names = "--threads", defaultValue = "32", description = "Threads.")
+    private int threads;
+
+    @Override
+    public Integer call() {
+      CallDriver driver = new CallDriver(HttpClient.start(2), entries, path, Duration.ofSeconds(5));
+      driver.run(rate, Duration.ofSeconds(seconds), threads);
+      System.out.println(JsonDocuments.format(driver.toDocument()));
+      return 0;
+    }
+  }
+
+  /** Finds free ports. */
+  @Command(name = "ports", description = "Prints free ports.", mixinStandardHelpOptions = true)
+  static final class PortsCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "COUNT", description = "How many.")
+    private int count;
+
+    @Override
+    public Integer call() throws IOException {
+      List<ServerSocket> sockets = new ArrayList<>();
+      for (int index = 0; index < count; index++) {
+        sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+      }
+      for (ServerSocket socket : sockets) {
+        System.out.println(socket.getLocalPort());
+        socket.close();
+      }
+      return 0;
+    }
+  }
+}
