--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
@@ -10,9 +10,9 @@
 import org.parsleycart.daemon.control.FirstPeers;
 import org.parsleycart.daemon.control.GossipDuty;
 import org.parsleycart.daemon.control.InForceSurvey;
+import org.parsleycart.daemon.control.LocalEvidence;
 import org.parsleycart.daemon.control.PlatformDuty;
 import org.parsleycart.daemon.control.PullDuty;
-import org.parsleycart.daemon.report.CallEvidence;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.decision.membership.GossipProtocol;
 import org.parsleycart.decision.membership.GossipSettings;
@@ -64,7 +64,7 @@
       PeerKeys keys,
       MeshState state,
       LoadBoard loads,
-      CallEvidence evidence,
+      LocalEvidence evidence,
       InstantSource clock)
       throws IOException {
     Envelope envelope = new Envelope(keys);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -12,6 +12,9 @@
 import org.parsleycart.daemon.call.EntryParts;
 import org.parsleycart.daemon.call.Forwarder;
 import org.parsleycart.daemon.call.LocalUpstreams;
+import org.parsleycart.daemon.control.JudgingDuty;
+import org.parsleycart.daemon.control.LocalEvidence;
+import org.parsleycart.daemon.control.RolloutChanges;
 import org.parsleycart.daemon.control.UpkeepDuty;
 import org.parsleycart.daemon.control.ZoneCapacity;
 import org.parsleycart.daemon.operator.Acceptance;
@@ -41,6 +44,7 @@
  * @param upstreams the upstreams beside the daemon
  * @param callsInProgress the calls taken from callers
  * @param upkeep the upkeep duty
+ * @param judging the judging duty
  * @param entryHandler takes calls from callers
  * @param admissionHandler takes calls from other daemons
  * @param operatorHandler takes requests of operators
@@ -53,6 +57,7 @@
     LocalUpstreams upstreams,
     CallsInProgress callsInProgress,
     UpkeepDuty upkeep,
+    JudgingDuty judging,
     HttpHandler entryHandler,
     HttpHandler admissionHandler,
     HttpHandler operatorHandler) {
@@ -70,8 +75,18 @@
     AdmissionSettings admissionSettings =
         new AdmissionSettings(settings.limits().coldLimit(), settings.limits().queueLength());
     LocalUpstreams upstreams = new LocalUpstreams(admissionSettings, clock);
-    ControlParts control =
-        ControlParts.create(settings, keys, state, loads, reports.evidence(), clock);
+    LocalEvidence evidence = new LocalEvidence(reports.evidence(), upstreams);
+    ControlParts control = ControlParts.create(settings, keys, state, loads, evidence, clock);
+    Acceptance acceptance = new Acceptance(control.store(), control.gossip());
+    JudgingDuty judging =
+        new JudgingDuty(
+            state,
+            control.gossip(),
+            control.platformDuty(),
+            new RolloutChanges(state, acceptance::accept),
+            evidence,
+            control.frames(),
+            clock);
 
     Forwarder forwarder = new Forwarder(pools, clock);
     CallSignature signature = new CallSignature(keys);
@@ -79,20 +94,7 @@
         new AdmissionService(
             state, upstreams, forwarder, reports.metrics(), reports.evidence(), clock);
     EntryParts entryParts =
-        new EntryParts(
-            state,
-            settings.identifier(),
-            loads,
-            new UpstreamSelection(loads),
-            new RetryPolicy(new RetryBudget()),
-            admission,
-            forwarder,
-            signature,
-            reports.metrics(),
-            reports.tracing(),
-            settings.limits(),
-            clock,
-            ThreadLocalRandom::current);
+        entryParts(settings, state, loads, admission, forwarder, signature, reports, clock);
     CallsInProgress callsInProgress = new CallsInProgress();
     DaemonMetrics.register(
         reports.registry(),
@@ -109,19 +111,45 @@
         upstreams,
         callsInProgress,
         new UpkeepDuty(state, upstreams, control.gossip(), reports.events()),
+        judging,
         callsInProgress.counting(new EntryHandler(entryParts)),
         new AdmissionHandler(state, admission, signature, reports.tracing(), clock),
-        operatorHandler(state, reports, control, upstreams, loads, clock));
+        operatorHandler(state, reports, control, acceptance, upstreams, loads, clock));
+  }
+
+  private static EntryParts entryParts(
+      DaemonSettings settings,
+      MeshState state,
+      LoadBoard loads,
+      AdmissionService admission,
+      Forwarder forwarder,
+      CallSignature signature,
+      Reports reports,
+      MonotonicClock clock) {
+    return new EntryParts(
+        state,
+        settings.identifier(),
+        loads,
+        new UpstreamSelection(loads),
+        new RetryPolicy(new RetryBudget()),
+        admission,
+        forwarder,
+        signature,
+        reports.metrics(),
+        reports.tracing(),
+        settings.limits(),
+        clock,
+        ThreadLocalRandom::current);
   }
 
   private static OperatorHandler operatorHandler(
       MeshState state,
       Reports reports,
       ControlParts control,
+      Acceptance acceptance,
       LocalUpstreams upstreams,
       LoadBoard loads,
       MonotonicClock clock) {
-    Acceptance acceptance = new Acceptance(control.store(), control.gossip());
     ZoneCapacity capacity = new ZoneCapacity(state, candidate -> loads.of(candidate).busy());
     StatusActions status =
         new StatusActions(
@@ -144,9 +172,11 @@
   void startDuties() {
     control.start();
     upkeep.start();
+    judging.start();
   }
 
   void stopDuties() {
+    judging.stop();
     upkeep.stop();
     control.stop();
     reports.tracing().close();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -14,13 +14,13 @@
 import java.util.Optional;
 import org.parsleycart.daemon.MeshState;
 import org.parsleycart.daemon.report.CallEvidence;
-import org.parsleycart.daemon.report.CallEvidence.Verdict;
+import org.parsleycart.daemon.report.CallEvidence.Series;
 import org.parsleycart.daemon.report.CallMetrics;
 import org.parsleycart.decision.Outcome;
 import org.parsleycart.decision.admission.Admission;
 import org.parsleycart.decision.admission.RefusalReason;
-import org.parsleycart.decision.admission.UpstreamCondition;
 import org.parsleycart.decision.admission.WaitingCall;
+import org.parsleycart.model.Service;
 
 /** Admits calls to the upstreams beside this daemon and sends the admitted ones on. */
 public final class AdmissionService {
@@ -116,13 +116,11 @@
     private final LocalUpstream upstream;
     private final LocalCall call;
     private final Instant startedAt;
-    private final UpstreamCondition conditionAtStart;
 
     private Progress(LocalUpstream upstream, LocalCall call, Instant startedAt) {
       this.upstream = upstream;
       this.call = call;
       this.startedAt = startedAt;
-      this.conditionAtStart = upstream.admission().load().condition();
     }
 
     @Override
@@ -163,30 +161,28 @@
     }
 
     private void recordEvidence(AttemptEnd end, Duration latency) {
-      verdict(end, latency)
-          .ifPresent(
-              verdict ->
-                  evidence.record(
-                      upstream.announced().service(),
-                      upstream.announced().version(),
-                      call.route(),
-                      verdict));
-    }
-
-    private Optional<Verdict> verdict(AttemptEnd end, Duration latency) {
       if (end.fault() == AttemptEnd.Fault.CALLER_GONE) {
-        return Optional.empty();
-      }
-      if (end.fault() != AttemptEnd.Fault.NONE && end.fault() != AttemptEnd.Fault.LATE) {
-        return Optional.of(Verdict.FAILED);
+        return;
       }
-      if (end.status().orElse(0) >= FIRST_SERVER_ERROR) {
-        return Optional.of(Verdict.FAILED);
+      Series series =
+          new Series(upstream.announced().service(), upstream.announced().version(), call.route());
+      boolean failed =
+          end.fault() != AttemptEnd.Fault.NONE || end.status().orElse(0) >= FIRST_SERVER_ERROR;
+      if (failed) {
+        evidence.failed(series);
+      } else {
+        evidence.answered(series, latency, isPastColdStart());
       }
-      if (latency.compareTo(call.contract().latencyObjective()) <= 0) {
-        return Optional.of(Verdict.GOOD);
-      }
-      return conditionAtStart.slownessCounts() ? Optional.of(Verdict.SLOW) : Optional.empty();
+    }
+
+    private boolean isPastColdStart() {
+      Duration warmUp =
+          state
+              .configuration()
+              .service(upstream.announced().service())
+              .map(Service::warmUp)
+              .orElse(Duration.ZERO);
+      return startedAt.isAfter(upstream.admission().coldSince().plus(warmUp));
     }
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlAnswers.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlAnswers.java
@@ -5,11 +5,9 @@
 import java.util.List;
 import java.util.function.Function;
 import org.parsleycart.daemon.MeshState;
-import org.parsleycart.daemon.report.CallEvidence;
 import org.parsleycart.decision.membership.BucketDigests;
 import org.parsleycart.decision.message.ControlMessage;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
-import org.parsleycart.decision.message.ControlMessage.EvidenceAnswer;
 import org.parsleycart.decision.message.ControlMessage.EvidenceRequest;
 import org.parsleycart.decision.message.ControlMessage.Failure;
 import org.parsleycart.decision.message.ControlMessage.InForceRequest;
@@ -21,17 +19,17 @@
   private final MeshState state;
   private final GossipDuty gossip;
   private final InForceSurvey survey;
-  private final CallEvidence evidence;
+  private final LocalEvidence localEvidence;
 
   // -- construction
 
   /** Creates the answers. */
   public ControlAnswers(
-      MeshState state, GossipDuty gossip, InForceSurvey survey, CallEvidence evidence) {
+      MeshState state, GossipDuty gossip, InForceSurvey survey, LocalEvidence localEvidence) {
     this.state = requireNonNull(state, "state is null");
     this.gossip = requireNonNull(gossip, "gossip is null");
     this.survey = requireNonNull(survey, "survey is null");
-    this.evidence = requireNonNull(evidence, "evidence is null");
+    this.localEvidence = requireNonNull(localEvidence, "localEvidence is null");
   }
 
   // -- Function
@@ -49,7 +47,7 @@
       return survey.answer(inForce);
     }
     if (request instanceof EvidenceRequest evidenceRequest) {
-      return new EvidenceAnswer(evidence.of(evidenceRequest.service()));
+      return localEvidence.of(evidenceRequest.service());
     }
     return new Failure("a message of this type takes no answer");
   }
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/JudgingDuty.java
@@ -0,0 +1,204 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.decision.membership.MemberRecord;
+import org.parsleycart.decision.membership.Rendezvous;
+import org.parsleycart.decision.message.CallCounts;
+import org.parsleycart.decision.message.ControlMessage.EvidenceAnswer;
+import org.parsleycart.decision.message.ControlMessage.EvidenceRequest;
+import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.message.VersionLoad;
+import org.parsleycart.decision.rollout.RolloutDecision;
+import org.parsleycart.decision.rollout.RolloutJudge;
+import org.parsleycart.link.FrameClient;
+import org.parsleycart.link.Threads;
+import org.parsleycart.model.Configuration;
+import org.parsleycart.model.Contract;
+import org.parsleycart.model.Rollout;
+import org.parsleycart.model.Route;
+import org.parsleycart.model.Service;
+import org.tinylog.Logger;
+
+/**
+ * The duty that judges the rollouts for which this daemon is responsible among the daemons beside
+ * upstreams of the service.
+ */
+public final class JudgingDuty {
+  private static final Duration STEP = Duration.ofMillis(500);
+  private static final Duration ASK_TIMEOUT = Duration.ofMillis(400);
+  private static final Duration DEFAULT_OBJECTIVE = Duration.ofSeconds(1);
+
+  private final MeshState state;
+  private final GossipDuty gossip;
+  private final PlatformDuty platform;
+  private final RolloutChanges changes;
+  private final LocalEvidence localEvidence;
+  private final FrameClient frames;
+  private final InstantSource clock;
+  private final Map<String, JudgedRollout> judged = new HashMap<>();
+  private final Thread thread;
+  private volatile boolean stopped;
+
+  private record JudgedRollout(long startedAt, RolloutJudge judge) {}
+
+  // -- construction
+
+  /** Creates the duty; {@link #start} starts its thread. */
+  public JudgingDuty(
+      MeshState state,
+      GossipDuty gossip,
+      PlatformDuty platform,
+      RolloutChanges changes,
+      LocalEvidence localEvidence,
+      FrameClient frames,
+      InstantSource clock) {
+    this.state = requireNonNull(state, "state is null");
+    this.gossip = requireNonNull(gossip, "gossip is null");
+    this.platform = requireNonNull(platform, "platform is null");
+    this.changes = requireNonNull(changes, "changes is null");
+    this.localEvidence = requireNonNull(localEvidence, "localEvidence is null");
+    this.frames = requireNonNull(frames, "frames is null");
+    this.clock = requireNonNull(clock, "clock is null");
+    this.thread = Threads.daemon("judging", this::run);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Stops the thread. */
+  public void stop() {
+    stopped = true;
+  }
+
+  // -- operation
+
+  private void run() {
+    while (!stopped) {
+      LockSupport.parkNanos(STEP.toNanos());
+      Configuration configuration = state.configuration();
+      Set<String> active =
+          configuration.rollouts().stream()
+              .filter(rollout -> rollout.phase().isActive())
+              .map(Rollout::name)
+              .collect(Collectors.toSet());
+      judged.keySet().retainAll(active);
+      configuration.rollouts().stream()
+          .filter(rollout -> active.contains(rollout.name()))
+          .forEach(rollout -> judge(configuration, rollout));
+    }
+  }
+
+  private void judge(Configuration configuration, Rollout rollout) {
+    Optional<Service> service = rollout.target(configuration);
+    if (service.isEmpty() || state.facts().condemnation(rollout).isPresent()) {
+      return;
+    }
+    List<String> witnesses = witnesses(service.get());
+    if (!isResponsible(rollout, witnesses)) {
+      judged.remove(rollout.name());
+      return;
+    }
+    RolloutJudge judge = judgeOf(configuration, rollout, service.get());
+    observe(judge, service.get(), witnesses);
+    carryOut(rollout, service.get(), judge.decide(rollout, clock.instant()));
+  }
+
+  private List<String> witnesses(Service service) {
+    return gossip
+        .view()
+        .alive()
+        .filter(
+            member ->
+                member.upstreams().stream()
+                    .anyMatch(upstream -> upstream.service().equals(service.name())))
+        .map(MemberRecord::identifier)
+        .sorted()
+        .toList();
+  }
+
+  private boolean isResponsible(Rollout rollout, List<String> witnesses) {
+    Stream<String> eligible =
+        witnesses.isEmpty()
+            ? gossip.view().alive().map(MemberRecord::identifier)
+            : witnesses.stream();
+    String self = gossip.view().self().identifier();
+    return Rendezvous.owner(eligible, rollout.reference().toString()).equals(Optional.of(self));
+  }
+
+  private RolloutJudge judgeOf(Configuration configuration, Rollout rollout, Service service) {
+    JudgedRollout held = judged.get(rollout.name());
+    if (held != null && held.startedAt() == rollout.startedAt()) {
+      return held.judge();
+    }
+    Logger.info("judging rollout {}", rollout.name());
+    RolloutJudge judge =
+        new RolloutJudge(rollout, service.version(), route -> objective(configuration, route));
+    judged.put(rollout.name(), new JudgedRollout(rollout.startedAt(), judge));
+    return judge;
+  }
+
+  private static Duration objective(Configuration configuration, String routeName) {
+    return configuration.routes().stream()
+        .filter(route -> route.name().equals(routeName))
+        .map(Route::contract)
+        .findFirst()
+        .flatMap(configuration::contract)
+        .map(Contract::latencyObjective)
+        .orElse(DEFAULT_OBJECTIVE);
+  }
+
+  private void observe(RolloutJudge judge, Service service, List<String> witnesses) {
+    Map<String, List<CallCounts>> counts = new HashMap<>();
+    Map<String, List<VersionLoad>> loads = new HashMap<>();
+    for (String witness : witnesses) {
+      ask(witness, service)
+          .ifPresent(
+              answer -> {
+                counts.put(witness, answer.counts());
+                loads.put(witness, answer.loads());
+              });
+    }
+    judge.observe(counts, loads, clock.instant());
+  }
+
+  private Optional<EvidenceAnswer> ask(String witness, Service service) {
+    if (witness.equals(gossip.view().self().identifier())) {
+      return Optional.of(localEvidence.of(service.name()));
+    }
+    return frames
+        .ask(witness, new EvidenceRequest(service.name()), ASK_TIMEOUT)
+        .toJavaOptional()
+        .filter(EvidenceAnswer.class::isInstance)
+        .map(EvidenceAnswer.class::cast);
+  }
+
+  private void carryOut(Rollout rollout, Service service, RolloutDecision decision) {
+    if (decision instanceof RolloutDecision.Condemn condemn) {
+      UrgentFact fact = state.facts().condemn(rollout, condemn.reason());
+      platform.announce(fact);
+      Logger.info("rollout {} condemned: {}", rollout.name(), condemn.reason());
+    } else if (decision instanceof RolloutDecision.Step step) {
+      changes.step(rollout, step.sharePerMille());
+    } else if (decision instanceof RolloutDecision.Soak) {
+      changes.soak(rollout);
+    } else if (decision instanceof RolloutDecision.Complete) {
+      changes.complete(rollout, service);
+    } else if (decision instanceof RolloutDecision.Stay stay) {
+      changes.tell(rollout, stay.reason(), clock.instant());
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/LocalEvidence.java
@@ -0,0 +1,40 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import org.parsleycart.daemon.call.LocalUpstreams;
+import org.parsleycart.daemon.report.CallEvidence;
+import org.parsleycart.decision.message.ControlMessage.EvidenceAnswer;
+import org.parsleycart.decision.message.VersionLoad;
+
+/** What this daemon can tell the judge of a rollout. Safe for use by several threads. */
+public final class LocalEvidence {
+  private final CallEvidence calls;
+  private final LocalUpstreams upstreams;
+
+  // -- construction
+
+  /** Creates the evidence. */
+  public LocalEvidence(CallEvidence calls, LocalUpstreams upstreams) {
+    this.calls = requireNonNull(calls, "calls is null");
+    this.upstreams = requireNonNull(upstreams, "upstreams is null");
+  }
+
+  // -- queries
+
+  /** Returns the calls and loads of a service. */
+  public EvidenceAnswer of(String service) {
+    requireNonNull(service, "service is null");
+    List<VersionLoad> loads =
+        upstreams.view().stream()
+            .filter(each -> each.announced().service().equals(service))
+            .filter(each -> !each.announced().draining())
+            .map(
+                each ->
+                    new VersionLoad(
+                        each.announced().version(), each.load().busy(), each.load().limit()))
+            .toList();
+    return new EvidenceAnswer(calls.of(service), loads);
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/RolloutChanges.java
@@ -0,0 +1,82 @@
+package org.parsleycart.daemon.control;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.parsleycart.daemon.MeshState;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.Resource;
+import org.parsleycart.model.Rollout;
+import org.parsleycart.model.RolloutPhase;
+import org.parsleycart.model.Service;
+
+/**
+ * Writes the steps of rollouts into the configuration. Each step has one change identifier and is
+ * based on the version that the judge saw, so that a judge that was paused changes nothing.
+ */
+public final class RolloutChanges {
+  private static final String AUTHOR = "parsleycart";
+  private static final Duration SHORTEST_TELLING_INTERVAL = Duration.ofSeconds(5);
+
+  private final MeshState state;
+  private final BiConsumer<ConfigurationChange, Optional<Long>> acceptance;
+  private Instant nextTelling = Instant.MIN;
+
+  // -- construction
+
+  /**
+   * Creates the writer.
+   *
+   * @param state the configuration in force
+   * @param acceptance accepts a change based on a version; a failure shows in the configuration,
+   *     from which the next decision starts
+   */
+  public RolloutChanges(
+      MeshState state, BiConsumer<ConfigurationChange, Optional<Long>> acceptance) {
+    this.state = requireNonNull(state, "state is null");
+    this.acceptance = requireNonNull(acceptance, "acceptance is null");
+  }
+
+  // -- changes
+
+  /** Gives the new version a larger share. */
+  public void step(Rollout rollout, int sharePerMille) {
+    write(rollout, "share-" + sharePerMille, List.of(rollout.withShare(sharePerMille)));
+  }
+
+  /** Gives the new version all traffic and keeps the old one ready. */
+  public void soak(Rollout rollout) {
+    Rollout soaking = rollout.withPhase(RolloutPhase.SOAKING, "full share reached");
+    write(rollout, "soak", List.of(soaking));
+  }
+
+  /** Puts the new version in charge. */
+  public void complete(Rollout rollout, Service service) {
+    Rollout done = rollout.withPhase(RolloutPhase.DONE, "completed");
+    write(rollout, "done", List.of(done, service.withVersion(rollout.version())));
+  }
+
+  /** Tells operators why a rollout stays, when that is news. */
+  public void tell(Rollout rollout, String reason, Instant now) {
+    if (rollout.reason().equals(reason) || now.isBefore(nextTelling)) {
+      return;
+    }
+    nextTelling = now.plus(SHORTEST_TELLING_INTERVAL);
+    Rollout told = rollout.withPhase(rollout.phase(), reason);
+    write(rollout, "tell-" + now.toEpochMilli(), List.of(told));
+  }
+
+  private void write(Rollout rollout, String step, List<Resource> upserts) {
+    if (!state.configuration().rollout(rollout.name()).equals(Optional.of(rollout))) {
+      return;
+    }
+    String identifier = "rollout-" + rollout.name() + "-" + rollout.startedAt() + "-" + step;
+    long seen = state.configuration().version();
+    acceptance.accept(
+        new ConfigurationChange(identifier, AUTHOR, upserts, List.of()), Optional.of(seen));
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallEvidence.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallEvidence.java
@@ -2,65 +2,72 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.IntStream;
 import org.parsleycart.decision.message.CallCounts;
+import org.parsleycart.decision.rollout.LatencyBuckets;
 
 /** The calls seen beside the upstreams of this daemon, for the judges of rollouts. */
 public final class CallEvidence {
-  private static final int MOST_SERIES = 4096;
+  private static final int MOST_SERIES = 1024;
 
   private final Map<Series, Counts> counts = new ConcurrentHashMap<>();
 
-  private record Series(String service, String version, String route) {}
+  /**
+   * What calls are counted together.
+   *
+   * @param service the service
+   * @param version the version of the upstream
+   * @param route the route
+   */
+  public record Series(String service, String version, String route) {
+    public Series {
+      requireNonNull(service, "service is null");
+      requireNonNull(version, "version is null");
+      requireNonNull(route, "route is null");
+    }
+  }
 
-  private record Counts(LongAdder good, LongAdder slow, LongAdder failed) {
+  private record Counts(LongAdder answered, LongAdder failed, AtomicLongArray latencies) {
     Counts() {
-      this(new LongAdder(), new LongAdder(), new LongAdder());
+      this(new LongAdder(), new LongAdder(), new AtomicLongArray(LatencyBuckets.COUNT));
     }
   }
 
-  /** How one call counts. */
-  public enum Verdict {
-    GOOD {
-      @Override
-      void addTo(Counts counts) {
-        counts.good().increment();
-      }
-    },
-    SLOW {
-      @Override
-      void addTo(Counts counts) {
-        counts.slow().increment();
-      }
-    },
-    FAILED {
-      @Override
-      void addTo(Counts counts) {
-        counts.failed().increment();
-      }
-    };
+  // -- events
 
-    abstract void addTo(Counts counts);
+  /** Counts a call that failed. */
+  public void failed(Series series) {
+    Counts held = countsOf(series);
+    if (held != null) {
+      held.failed().increment();
+    }
   }
 
-  // -- events
-
-  /** Counts a call. */
-  public void record(String service, String version, String route, Verdict verdict) {
-    requireNonNull(verdict, "verdict is null");
-    Series series = new Series(service, version, route);
-    Counts held = counts.get(series);
-    if (held == null && counts.size() < MOST_SERIES) {
-      held = counts.computeIfAbsent(series, unused -> new Counts());
+  /** Counts a call that was answered; its latency counts when the upstream is past cold start. */
+  public void answered(Series series, Duration latency, boolean latencyCounts) {
+    Counts held = countsOf(series);
+    if (held == null) {
+      return;
     }
-    if (held != null) {
-      verdict.addTo(held);
+    held.answered().increment();
+    if (latencyCounts) {
+      held.latencies().incrementAndGet(LatencyBuckets.indexOf(latency));
     }
   }
 
+  private Counts countsOf(Series series) {
+    Counts held = counts.get(requireNonNull(series, "series is null"));
+    return held == null && counts.size() < MOST_SERIES
+        ? counts.computeIfAbsent(series, unused -> new Counts())
+        : held;
+  }
+
   // -- queries
 
   /** Returns the calls of all versions of a service. */
@@ -76,8 +83,8 @@
     return new CallCounts(
         series.version(),
         series.route(),
-        counts.good().sum(),
-        counts.slow().sum(),
-        counts.failed().sum());
+        counts.answered().sum(),
+        counts.failed().sum(),
+        IntStream.range(0, LatencyBuckets.COUNT).mapToObj(counts.latencies()::get).toList());
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -26,6 +26,7 @@
   private final PriorityQueue<WaitingCall<C>> queue = new PriorityQueue<>(WaitingCall.order());
   private Optional<RefusalReason> closed = Optional.empty();
   private int running;
+  private Instant coldSince;
 
   // -- construction
 
@@ -34,6 +35,7 @@
     this.settings = requireNonNull(settings, "settings is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.limit = ConcurrencyLimit.of(slots, settings.coldLimit());
+    this.coldSince = clock.instant();
   }
 
   // -- events
@@ -71,16 +73,25 @@
    * @return the calls to start and to refuse now
    */
   public synchronized Admission<C> answered(String route, Duration latency) {
+    long returnsBefore = limit.coldReturns();
     limit.answered(route, latency, running);
+    noteColdReturn(returnsBefore);
     return release();
   }
 
   /** Takes note that a started call failed at the connection to the upstream. */
   public synchronized Admission<C> failed() {
     limit.failed();
+    coldSince = clock.instant();
     return release();
   }
 
+  private void noteColdReturn(long returnsBefore) {
+    if (limit.coldReturns() > returnsBefore) {
+      coldSince = clock.instant();
+    }
+  }
+
   /** Takes note that the upstream answered that it has too much to do. */
   public synchronized Admission<C> shed() {
     limit.shed();
@@ -126,6 +137,7 @@
     if (closed.isPresent()) {
       closed = Optional.empty();
       limit.restart();
+      coldSince = clock.instant();
     }
   }
 
@@ -167,6 +179,11 @@
     return new LoadReport(running + queue.size(), limit.current(), limit.condition());
   }
 
+  /** Returns when the upstream started or last fell back to cold. */
+  public synchronized Instant coldSince() {
+    return coldSince;
+  }
+
   /** Returns how often the upstream fell back to cold. */
   public synchronized long coldReturns() {
     return limit.coldReturns();
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/CallCounts.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/CallCounts.java
@@ -2,44 +2,51 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.List;
+import java.util.function.LongBinaryOperator;
+import java.util.stream.IntStream;
+
 /**
- * The calls of one version on one route that count as evidence, since the process started.
+ * The calls of one version on one route, since the process that counts them started.
  *
  * @param version the version of the upstream
  * @param route the name of the route
- * @param good calls answered within the objective
- * @param slow calls answered late while the upstream was warm
+ * @param answered calls answered without failure
  * @param failed calls that failed
+ * @param latencies calls answered by upstreams past their cold start, by bucket of latency
  */
-public record CallCounts(String version, String route, long good, long slow, long failed) {
+public record CallCounts(
+    String version, String route, long answered, long failed, List<Long> latencies) {
 
   // -- construction
 
   public CallCounts {
     requireNonNull(version, "version is null");
     requireNonNull(route, "route is null");
+    latencies = List.copyOf(latencies);
   }
 
   // -- queries
 
   /** Returns the number of calls. */
   public long total() {
-    return good + slow + failed;
-  }
-
-  /** Returns the counts of this and another set of calls of the same version and route. */
-  public CallCounts plus(CallCounts other) {
-    return new CallCounts(
-        version, route, good + other.good, slow + other.slow, failed + other.failed);
+    return answered + failed;
   }
 
   /** Returns the counts above an earlier reading, never negative. */
   public CallCounts since(CallCounts earlier) {
+    return combine(earlier, (now, before) -> Math.max(0, now - before));
+  }
+
+  private CallCounts combine(CallCounts other, LongBinaryOperator operator) {
     return new CallCounts(
         version,
         route,
-        Math.max(0, good - earlier.good),
-        Math.max(0, slow - earlier.slow),
-        Math.max(0, failed - earlier.failed));
+        operator.applyAsLong(answered, other.answered),
+        operator.applyAsLong(failed, other.failed),
+        IntStream.range(0, latencies.size())
+            .mapToObj(
+                bucket -> operator.applyAsLong(latencies.get(bucket), other.latencies.get(bucket)))
+            .toList());
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/ControlMessage.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/ControlMessage.java
@@ -104,10 +104,12 @@
     }
   }
 
-  /** Carries the calls seen, one entry for each version and route. */
-  record EvidenceAnswer(List<CallCounts> counts) implements ControlMessage {
+  /** Carries the calls seen, by version and route, and the loads of the upstreams. */
+  record EvidenceAnswer(List<CallCounts> counts, List<VersionLoad> loads)
+      implements ControlMessage {
     public EvidenceAnswer {
       counts = List.copyOf(counts);
+      loads = List.copyOf(loads);
     }
   }
 
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RolloutSchedule.java
@@ -0,0 +1,63 @@
+package org.parsleycart.decision.rollout;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.OptionalInt;
+import org.parsleycart.model.Rollout;
+
+/**
+ * The shares of a rollout and the times at which they are due, so that the full share is reached
+ * and soaked by the operator's deadline.
+ */
+final class RolloutSchedule {
+  /** The largest share before the evidence accepts the version, in thousandths. */
+  static final int SMALL_SHARE_PER_MILLE = 50;
+
+  private static final int[] SHARES = {10, SMALL_SHARE_PER_MILLE, 100, 250, 500, 1000};
+  private static final double[] DUE = {0.0, 0.05, 0.35, 0.5, 0.65, 0.8};
+  private static final double SOAKED = 0.95;
+
+  private final Instant startedAt;
+  private final Duration completeWithin;
+
+  // -- construction
+
+  private RolloutSchedule(Instant startedAt, Duration completeWithin) {
+    this.startedAt = startedAt;
+    this.completeWithin = completeWithin;
+  }
+
+  static RolloutSchedule of(Rollout rollout) {
+    requireNonNull(rollout, "rollout is null");
+    return new RolloutSchedule(Instant.ofEpochMilli(rollout.startedAt()), rollout.completeWithin());
+  }
+
+  // -- queries
+
+  /** Returns the next share after the given one, if its time has come. */
+  OptionalInt dueAfter(int sharePerMille, Instant now) {
+    return Arrays.stream(SHARES).filter(share -> share > sharePerMille).findFirst().stream()
+        .filter(share -> !now.isBefore(dueTime(share)))
+        .findFirst();
+  }
+
+  boolean isSoaked(Instant now) {
+    return !now.isBefore(at(SOAKED));
+  }
+
+  boolean isOverdue(Instant now) {
+    return now.isAfter(at(1.0));
+  }
+
+  private Instant dueTime(int share) {
+    int index = Arrays.binarySearch(SHARES, share);
+    return at(DUE[index]);
+  }
+
+  private Instant at(double part) {
+    return startedAt.plusNanos((long) (completeWithin.toNanos() * part));
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RouteEvidence.java
@@ -0,0 +1,91 @@
+package org.parsleycart.decision.rollout;
+
+import java.util.Optional;
+import org.parsleycart.decision.message.CallCounts;
+
+/** The old and the new version beside each other on one route. */
+final class RouteEvidence {
+  private static final double PRIOR_CALLS = 50;
+  private static final double SMALLEST_FAILURE_RATE = 0.002;
+  private static final double SMALLEST_FAILURE_RISE = 0.02;
+  private static final double SMALLEST_SLOW_RATE = 0.01;
+  private static final double SMALLEST_SLOW_RISE = 0.1;
+  private static final double OLD_SHARE_ABOVE = 0.05;
+
+  /** Two buckets of √2 each: slow is twice what the old version rarely exceeds. */
+  private static final int SLACK_BUCKETS = 2;
+
+  private static final double FEWEST_TIMED_OLD_CALLS = 50;
+
+  private final SideEvidence old = new SideEvidence();
+  private final SequentialTest failures =
+      new SequentialTest(SMALLEST_FAILURE_RATE, SMALLEST_FAILURE_RISE);
+  private final SequentialTest slowness =
+      new SequentialTest(SMALLEST_SLOW_RATE, SMALLEST_SLOW_RISE);
+  private double oldFailureRate;
+  private double oldSlowRate;
+  private Optional<Integer> slowAbove = Optional.empty();
+  private long newCalls;
+  private long newFailures;
+
+  // -- events
+
+  void forgetOld(double keptShare) {
+    old.forget(keptShare);
+  }
+
+  /** Takes calls of the old version; the rates last known stay when it gets no more traffic. */
+  void addOld(CallCounts counts, int objectiveBucket) {
+    old.add(counts);
+    if (old.total() > 0) {
+      oldFailureRate = old.failureRate(PRIOR_CALLS);
+    }
+    if (old.timed() >= FEWEST_TIMED_OLD_CALLS) {
+      int usual = old.bucketOfShareAbove(OLD_SHARE_ABOVE) + SLACK_BUCKETS;
+      int threshold = Math.min(LatencyBuckets.COUNT - 1, Math.min(usual, objectiveBucket));
+      slowAbove = Optional.of(threshold);
+      oldSlowRate = old.timedAbove(threshold) / old.timed();
+    }
+  }
+
+  void addNew(CallCounts counts) {
+    newCalls += counts.total();
+    newFailures += counts.failed();
+    failures.observe((double) counts.answered(), (double) counts.failed(), oldFailureRate);
+    if (slowAbove.isPresent()) {
+      SideEvidence fresh = new SideEvidence();
+      fresh.add(counts);
+      double slow = fresh.timedAbove(slowAbove.get());
+      slowness.observe(fresh.timed() - slow, slow, oldSlowRate);
+    }
+  }
+
+  // -- queries
+
+  double oldCalls() {
+    return old.total();
+  }
+
+  long newCalls() {
+    return newCalls;
+  }
+
+  boolean isAccepted() {
+    return failures.isAccepted();
+  }
+
+  /** Returns why the version is condemned on this route, if it is. */
+  Optional<String> condemnation() {
+    if (failures.isCondemned()) {
+      return Optional.of(
+          "%d of %d calls failed, old version %.1f%%"
+              .formatted(newFailures, newCalls, 100 * oldFailureRate));
+    }
+    if (slowness.isCondemned()) {
+      return Optional.of(
+          "too many slow answers in %d calls, old version %.1f%%"
+              .formatted(newCalls, 100 * oldSlowRate));
+    }
+    return Optional.empty();
+  }
+}
--- a/parsleycart-link/src/main/java/org/parsleycart/link/MessageType.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/MessageType.java
@@ -3,7 +3,6 @@
 import java.util.Arrays;
 import java.util.List;
 import org.parsleycart.decision.membership.MemberRecord;
-import org.parsleycart.decision.message.CallCounts;
 import org.parsleycart.decision.message.ControlMessage;
 import org.parsleycart.decision.message.ControlMessage.Acknowledgement;
 import org.parsleycart.decision.message.ControlMessage.Announcement;
@@ -207,15 +206,12 @@
   EVIDENCE_ANSWER("evidence-answer", EvidenceAnswer.class) {
     @Override
     void write(ControlMessage message, Document.MappingBuilder builder) {
-      List<Document.Mapping> counts =
-          ((EvidenceAnswer) message).counts().stream().map(MessageType::countsDocument).toList();
-      builder.with("counts", Document.sequence(counts));
+      EvidenceCodec.write((EvidenceAnswer) message, builder);
     }
 
     @Override
     ControlMessage read(MappingReader reader, List<Problem> problems) {
-      return new EvidenceAnswer(
-          reader.items("counts", item -> countsFrom(MappingReader.of(item, problems))));
+      return EvidenceCodec.read(reader, problems);
     }
   },
   FAILURE("failure", Failure.class) {
@@ -256,23 +252,4 @@
   abstract void write(ControlMessage message, Document.MappingBuilder builder);
 
   abstract ControlMessage read(MappingReader reader, List<Problem> problems);
-
-  private static Document.Mapping countsDocument(CallCounts counts) {
-    return Document.mapping()
-        .with("version", counts.version())
-        .with("route", counts.route())
-        .with("good", counts.good())
-        .with("slow", counts.slow())
-        .with("failed", counts.failed())
-        .build();
-  }
-
-  private static CallCounts countsFrom(MappingReader reader) {
-    return new CallCounts(
-        reader.requiredText("version"),
-        reader.requiredText("route"),
-        reader.requiredNumber("good", 0, Long.MAX_VALUE),
-        reader.requiredNumber("slow", 0, Long.MAX_VALUE),
-        reader.requiredNumber("failed", 0, Long.MAX_VALUE));
-  }
 }
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Service.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Service.java
@@ -2,10 +2,12 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.Durations;
 import org.parsleycart.model.document.MappingReader;
 
 /**
@@ -13,26 +15,33 @@
  *
  * @param name the name under which upstreams announce themselves
  * @param version the version that takes all traffic outside rollouts
+ * @param warmUp how long an upstream is slow after its start
  * @param labels the labels that selectors match, beside {@code name}
  */
-public record Service(String name, String version, Map<String, String> labels) implements Resource {
+public record Service(String name, String version, Duration warmUp, Map<String, String> labels)
+    implements Resource {
+  private static final Duration DEFAULT_WARM_UP = Duration.ofSeconds(10);
 
   // -- construction
 
   public Service {
     requireNonNull(name, "name is null");
     requireNonNull(version, "version is null");
+    requireNonNull(warmUp, "warmUp is null");
     labels = Map.copyOf(labels);
   }
 
   static Service from(MappingReader reader) {
     return new Service(
-        reader.requiredName("name"), reader.requiredName("version"), reader.texts("labels"));
+        reader.requiredName("name"),
+        reader.requiredName("version"),
+        reader.duration("warmUp").orElse(DEFAULT_WARM_UP),
+        reader.texts("labels"));
   }
 
   /** Returns this service with another version in charge of all traffic. */
   public Service withVersion(String newVersion) {
-    return new Service(name, newVersion, labels);
+    return new Service(name, newVersion, warmUp, labels);
   }
 
   // -- queries
@@ -54,6 +63,7 @@
     return Document.mapping()
         .with("name", name)
         .with("version", version)
+        .with("warmUp", Durations.format(warmUp))
         .withTexts("labels", new TreeMap<>(labels))
         .build();
   }
