Compare versions at the same moment and accept small routes sooner

A fault that struck both versions at once was held against the new one, since the old side was averaged over ten seconds; the same for slowness; and a route with a fifth of the traffic could not be accepted within a two-minute deadline at 5% share (455 calls, undecided). Ruled out: a longer window (condemns later) and a higher threshold (same delay for real faults).

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RolloutJudge.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RolloutJudge.java
@@ -30,6 +30,7 @@
  */
 public final class RolloutJudge {
   private static final Duration HALF_LIFE = Duration.ofSeconds(10);
+  private static final Duration HALF_LIFE_NOW = Duration.ofMillis(100);
   private static final long FRESH_CALLS_PER_STEP = 50;
   private static final double IMPORTANT_ROUTE_SHARE = 0.05;
   private static final double HIGHEST_UTILIZATION = 0.8;
@@ -40,7 +41,7 @@
   private final Function<String, Duration> objectives;
   private final RolloutSchedule schedule;
   private final Map<String, RouteEvidence> routes = new TreeMap<>();
-  private final RouteEvidence allRoutes = new RouteEvidence();
+  private final RouteEvidence allRoutes = RouteEvidence.ofAllRoutes();
   private final Map<Reading, CallCounts> lastReadings = new HashMap<>();
   private final Set<String> knownDaemons = new HashSet<>();
   private Map<String, List<VersionLoad>> loads = Map.of();
@@ -95,8 +96,9 @@
     double elapsed =
         lastObservation.map(last -> (double) Duration.between(last, now).toNanos()).orElse(0.0);
     double kept = Math.pow(0.5, elapsed / HALF_LIFE.toNanos());
-    routes.values().forEach(route -> route.forgetOld(kept));
-    allRoutes.forgetOld(kept);
+    double keptNow = Math.pow(0.5, elapsed / HALF_LIFE_NOW.toNanos());
+    routes.values().forEach(route -> route.forgetOld(kept, keptNow));
+    allRoutes.forgetOld(kept, keptNow);
     lastObservation = Optional.of(now);
   }
 
@@ -123,7 +125,7 @@
   }
 
   private RouteEvidence route(CallCounts counts) {
-    return routes.computeIfAbsent(counts.route(), unused -> new RouteEvidence());
+    return routes.computeIfAbsent(counts.route(), unused -> RouteEvidence.ofOneRoute());
   }
 
   // -- decision
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RouteEvidence.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RouteEvidence.java
@@ -6,8 +6,10 @@
 /** The old and the new version beside each other on one route. */
 final class RouteEvidence {
   private static final double PRIOR_CALLS = 50;
+  private static final double PRIOR_CALLS_NOW = 10;
   private static final double SMALLEST_FAILURE_RATE = 0.002;
   private static final double SMALLEST_FAILURE_RISE = 0.02;
+  private static final double ACCEPTED_RISE_OF_ONE_ROUTE = 0.05;
   private static final double SMALLEST_SLOW_RATE = 0.01;
   private static final double SMALLEST_SLOW_RISE = 0.1;
   private static final double OLD_SHARE_ABOVE = 0.05;
@@ -18,40 +20,69 @@
   private static final double FEWEST_TIMED_OLD_CALLS = 50;
 
   private final SideEvidence old = new SideEvidence();
-  private final SequentialTest failures =
-      new SequentialTest(SMALLEST_FAILURE_RATE, SMALLEST_FAILURE_RISE);
-  private final SequentialTest slowness =
-      new SequentialTest(SMALLEST_SLOW_RATE, SMALLEST_SLOW_RISE);
+  private final SideEvidence oldNow = new SideEvidence();
+  private final CumulativeSum failures =
+      new CumulativeSum(new RateRise(SMALLEST_FAILURE_RATE, SMALLEST_FAILURE_RISE));
+  private final CumulativeSum slowness =
+      new CumulativeSum(new RateRise(SMALLEST_SLOW_RATE, SMALLEST_SLOW_RISE));
+  private final ProbabilityRatio acceptance;
   private double oldFailureRate;
   private double oldSlowRate;
   private Optional<Integer> slowAbove = Optional.empty();
   private long newCalls;
   private long newFailures;
 
+  // -- construction
+
+  private RouteEvidence(double acceptedRise) {
+    this.acceptance = new ProbabilityRatio(new RateRise(SMALLEST_FAILURE_RATE, acceptedRise));
+  }
+
+  /** Returns the evidence of one route, accepted on few calls since the sum goes on watching. */
+  static RouteEvidence ofOneRoute() {
+    return new RouteEvidence(ACCEPTED_RISE_OF_ONE_ROUTE);
+  }
+
+  /** Returns the evidence of all routes together. */
+  static RouteEvidence ofAllRoutes() {
+    return new RouteEvidence(SMALLEST_FAILURE_RISE);
+  }
+
   // -- events
 
-  void forgetOld(double keptShare) {
+  void forgetOld(double keptShare, double keptShareNow) {
     old.forget(keptShare);
+    oldNow.forget(keptShareNow);
   }
 
-  /** Takes calls of the old version; the rates last known stay when it gets no more traffic. */
+  /**
+   * Takes calls of the old version; the rates last known stay when it gets no more traffic.
+   *
+   * <p>The larger of the lasting rate and the rate right now counts, so that a fault that strikes
+   * both versions at once is not held against the new one.
+   */
   void addOld(CallCounts counts, int objectiveBucket) {
     old.add(counts);
+    oldNow.add(counts);
     if (old.total() > 0) {
-      oldFailureRate = old.failureRate(PRIOR_CALLS);
+      oldFailureRate = Math.max(old.failureRate(PRIOR_CALLS), oldNow.failureRate(PRIOR_CALLS_NOW));
     }
     if (old.timed() >= FEWEST_TIMED_OLD_CALLS) {
       int usual = old.bucketOfShareAbove(OLD_SHARE_ABOVE) + SLACK_BUCKETS;
       int threshold = Math.min(LatencyBuckets.COUNT - 1, Math.min(usual, objectiveBucket));
       slowAbove = Optional.of(threshold);
-      oldSlowRate = old.timedAbove(threshold) / old.timed();
+      oldSlowRate =
+          Math.max(old.slowRate(threshold, 0), oldNow.slowRate(threshold, PRIOR_CALLS_NOW));
     }
   }
 
   void addNew(CallCounts counts) {
     newCalls += counts.total();
     newFailures += counts.failed();
-    failures.observe((double) counts.answered(), (double) counts.failed(), oldFailureRate);
+    double answered = counts.answered();
+    double failed = counts.failed();
+    failures.observe(answered, failed, oldFailureRate);
+    acceptance.observe(answered, failed, oldFailureRate);
     if (slowAbove.isPresent()) {
       SideEvidence fresh = new SideEvidence();
       fresh.add(counts);
@@ -71,7 +102,7 @@
   }
 
   boolean isAccepted() {
-    return failures.isAccepted();
+    return acceptance.isAccepted();
   }
 
   /** Returns why the version is condemned on this route, if it is. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/SideEvidence.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/SideEvidence.java
@@ -46,6 +46,12 @@
     return IntStream.range(bucket + 1, latencies.length).mapToDouble(each -> latencies[each]).sum();
   }
 
+  /** Returns the share of timed calls above a bucket, with a prior as for failures. */
+  double slowRate(int bucket, double priorCalls) {
+    double all = timed() + priorCalls;
+    return all == 0 ? 0 : timedAbove(bucket) / all;
+  }
+
   /** Returns the first bucket above which at most the given share of the calls lies. */
   int bucketOfShareAbove(double share) {
     double allowed = timed() * share;
