Prove the call path on the wire: cut, unframed, crossed and forged answers

Calls through two real daemons in one process, on free ports, to an upstream that answers with any bytes: no cut answer looks whole, a write runs once and is told unknown, not-run is told only when nothing reached the upstream, headers of the mesh from outside are dropped, ambiguous lengths are refused.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -122,12 +122,23 @@
     int cut = parts.upstreams().running();
     server.stop();
     parts.stopDuties();
+    closeFrames();
+    Logger.info("stopped with {} calls still running", cut);
+  }
+
+  /** Stops at once, as when the process dies; running calls are cut. */
+  void kill() {
+    parts.stopDuties();
+    server.stop();
+    closeFrames();
+  }
+
+  private void closeFrames() {
     try {
       frames.close();
     } catch (IOException e) {
       Logger.info("control listener did not close: {}", e.getMessage());
     }
-    Logger.info("stopped with {} calls still running", cut);
   }
 
   private void waitUntil(Instant deadline, boolean endWhenIdle) {
--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/TestMesh.java
@@ -0,0 +1,209 @@
+package org.parsleycart.daemon;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.parsleycart.daemon.settings.DaemonSettings;
+import org.parsleycart.link.Addresses;
+import org.parsleycart.link.http.HttpAnswer;
+import org.parsleycart.link.http.HttpCall;
+import org.parsleycart.link.http.HttpClient;
+import org.parsleycart.standin.PlatformStandin;
+
+/** A few real daemons in one process on free ports, with a platform stand-in. */
+public final class TestMesh implements AutoCloseable {
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration LONGEST_WAIT = Duration.ofSeconds(30);
+  private static final int BIND_ATTEMPTS = 20;
+
+  private final PlatformStandin platform =
+      PlatformStandin.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  private final HttpClient client = HttpClient.start(1);
+  private final List<Member> members = new ArrayList<>();
+
+  /** A daemon and its addresses. */
+  public record Member(Daemon daemon, DaemonSettings settings) {
+    /** Returns where callers send calls. */
+    public String callers() {
+      return Addresses.format(settings.addresses().callers());
+    }
+
+    /** Returns where operators send requests. */
+    public String operators() {
+      return Addresses.format(settings.addresses().operators());
+    }
+
+    /** Returns where other daemons send calls. */
+    public String daemons() {
+      return Addresses.format(settings.addresses().daemons());
+    }
+  }
+
+  /** Starts a daemon in each of the given zones and waits until all know each other. */
+  public static TestMesh start(String... zones) throws IOException {
+    TestMesh mesh = new TestMesh();
+    for (String zone : zones) {
+      mesh.add(zone);
+    }
+    mesh.await(() -> mesh.members.stream().allMatch(each -> mesh.sees(each, zones.length)));
+    return mesh;
+  }
+
+  /** Starts one more daemon. */
+  public Member add(String zone) throws IOException {
+    for (int attempt = 0; attempt < BIND_ATTEMPTS; attempt++) {
+      DaemonSettings settings =
+          DaemonSettings.parse("test", settingsText(zone, freePorts(4))).get();
+      try {
+        Member member = new Member(Daemon.start(settings), settings);
+        members.add(member);
+        return member;
+      } catch (BindException e) {
+        LockSupport.parkNanos(1);
+      }
+    }
+    throw new IOException("no free ports");
+  }
+
+  private String settingsText(String zone, List<Integer> ports) {
+    return """
+        zone: %s
+        addresses: {callers: "127.0.0.1:%d", daemons: "127.0.0.1:%d",
+                    control: "127.0.0.1:%d", operators: "127.0.0.1:%d"}
+        platform: "%s"
+        peerKeys: [test-key-0123456789]
+        limits: {maximumBodyBytes: 100000, replayableBodyBytes: 1000, drainTimeout: 5s}
+        """
+        .formatted(
+            zone, ports.get(0), ports.get(1), ports.get(2), ports.get(3), platform.address());
+  }
+
+  private static List<Integer> freePorts(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    List<Integer> ports = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      sockets.add(socket);
+      ports.add(socket.getLocalPort());
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
+    }
+    return ports;
+  }
+
+  // -- queries
+
+  /** Returns the daemon started as the given one. */
+  public Member member(int index) {
+    return members.get(index);
+  }
+
+  /** Returns the platform. */
+  public PlatformStandin platform() {
+    return platform;
+  }
+
+  /** Returns a client. */
+  public HttpClient client() {
+    return client;
+  }
+
+  private boolean sees(Member member, int count) {
+    return send(member.operators(), HttpCall.of("GET", "/status"))
+        .text()
+        .contains("\"alive\":" + count);
+  }
+
+  // -- operations
+
+  /** Sends a request that must be answered. */
+  public HttpAnswer send(String address, HttpCall call) {
+    return client.send(address, call, TIMEOUT).get();
+  }
+
+  /** Applies a configuration at the first daemon and waits until all have it. */
+  public void apply(String yaml) {
+    HttpAnswer answer =
+        send(members.get(0).operators(), HttpCall.of("POST", "/changes").body(yaml));
+    if (answer.status() != 200) {
+      throw new IllegalStateException(answer.text());
+    }
+    awaitInForce();
+  }
+
+  /** Waits until the newest version of the first daemon is in force everywhere. */
+  public void awaitInForce() {
+    await(
+        () ->
+            send(members.get(0).operators(), HttpCall.of("GET", "/in-force"))
+                .text()
+                .contains("\"lagging\":0,\"silent\":0"));
+  }
+
+  /** Announces an upstream beside a daemon for the length of a test. */
+  public void announce(
+      Member member, String identifier, String service, String version, String address) {
+    String body =
+        "{service: %s, version: %s, slots: 4, address: \"%s\", renewWithin: 10m}"
+            .formatted(service, version, address);
+    HttpAnswer answer =
+        send(member.operators(), HttpCall.of("PUT", "/upstreams/" + identifier).body(body));
+    if (answer.status() != 200) {
+      throw new IllegalStateException(answer.text());
+    }
+  }
+
+  /** Waits until a daemon routes to so many upstreams of a service, version and zone. */
+  public void awaitUpstreams(Member member, String serviceVersionZone, int count) {
+    String wanted = "{\"service\":\"" + serviceVersionZone + "\",\"upstreams\":" + count + "}";
+    await(
+        () ->
+            send(member.operators(), HttpCall.of("GET", "/status")).text().contains(wanted)
+                || (count == 0 && !serves(member, serviceVersionZone)));
+  }
+
+  private boolean serves(Member member, String serviceVersionZone) {
+    return send(member.operators(), HttpCall.of("GET", "/status"))
+        .text()
+        .contains("\"service\":\"" + serviceVersionZone + "\"");
+  }
+
+  /** Waits for a condition; the bound only ends a run that hangs. */
+  public void await(BooleanSupplier condition) {
+    long deadline = System.nanoTime() + LONGEST_WAIT.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        throw new IllegalStateException("condition not met: " + statuses());
+      }
+      LockSupport.parkNanos(Duration.ofMillis(20).toNanos());
+    }
+  }
+
+  private Map<String, String> statuses() {
+    Map<String, String> statuses = new java.util.TreeMap<>();
+    members.forEach(
+        member ->
+            statuses.put(
+                member.operators(),
+                client
+                    .send(member.operators(), HttpCall.of("GET", "/status"), TIMEOUT)
+                    .fold(Object::toString, HttpAnswer::text)));
+    return statuses;
+  }
+
+  @Override
+  public void close() {
+    members.forEach(member -> member.daemon().kill());
+    client.close();
+    platform.close();
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallPathTest.java
@@ -0,0 +1,211 @@
+package org.parsleycart.daemon.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.parsleycart.daemon.TestMesh;
+import org.parsleycart.link.LinkError;
+import org.parsleycart.link.http.HttpAnswer;
+import org.parsleycart.link.http.HttpCall;
+
+/** Calls through two real daemons to an upstream that answers with any bytes. */
+class CallPathTest {
+  private static final String CONFIGURATION =
+      """
+      zones: [{name: abdali}, {name: marka}]
+      contracts:
+        - {name: read, kind: interactive-read, deadline: 2s}
+        - {name: write, kind: non-idempotent-write, deadline: 2s}
+      services: [{name: ledger, version: v1}, {name: nowhere, version: v1}]
+      routes:
+        - {name: read, pathPrefix: /read, service: ledger, contract: read}
+        - {name: write, pathPrefix: /write, service: ledger, contract: write}
+        - {name: nowhere, pathPrefix: /nowhere, service: nowhere, contract: write}
+      """;
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static TestMesh mesh;
+  private static ScriptedUpstream upstream;
+
+  @BeforeAll
+  static void start() throws IOException {
+    mesh = TestMesh.start("abdali", "marka");
+    mesh.apply(CONFIGURATION);
+    upstream = new ScriptedUpstream();
+    mesh.announce(mesh.member(0), "u0", "ledger", "v1", upstream.address());
+    mesh.awaitUpstreams(mesh.member(0), "ledger v1 abdali", 1);
+    mesh.awaitUpstreams(mesh.member(1), "ledger v1 abdali", 1);
+  }
+
+  @AfterAll
+  static void stop() throws IOException {
+    mesh.close();
+    upstream.close();
+  }
+
+  @BeforeEach
+  void answerWell() {
+    upstream.answerWith(ScriptedUpstream.ok("fine"), false);
+  }
+
+  /** The entry beside the upstream (one process) and the other one (two hops). */
+  private static String entry(int member) {
+    return mesh.member(member).callers();
+  }
+
+  private static String outcome(HttpAnswer answer) {
+    return answer.header("x-parsleycart-outcome").orElse("none");
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void shouldDeliverTheWholeAnswer(int member) {
+    HttpAnswer answer = mesh.send(entry(member), HttpCall.of("GET", "/read/1?x=%20y"));
+
+    assertThat(answer.status()).isEqualTo(200);
+    assertThat(answer.text()).isEqualTo("fine");
+    assertThat(outcome(answer)).isEqualTo("answered");
+    assertThat(upstream.lastHead()).startsWith("get /read/1?x=%20y http/1.1");
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void shouldCarryLargeBodiesBothWays(int member) {
+    String large = "x".repeat(50_000);
+    upstream.answerWith(ScriptedUpstream.ok(large), false);
+
+    HttpAnswer answer = mesh.send(entry(member), HttpCall.of("POST", "/write").body(large));
+
+    assertThat(answer.text()).isEqualTo(large);
+    assertThat(upstream.lastHead()).contains("content-length: 50000");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "0, 'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort'",
+    "1, 'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort'",
+    "0, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n'",
+    "1, 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n'"
+  })
+  void shouldNeverLetACutAnswerLookWhole(int member, String bytes) {
+    upstream.answerWith(bytes, true);
+
+    Either<LinkError, HttpAnswer> answer =
+        mesh.client().send(entry(member), HttpCall.of("GET", "/write"), TIMEOUT);
+
+    assertThat(answer.isLeft() || answer.get().status() >= 500).isTrue();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "0, ''",
+    "1, ''",
+    "0, 'HTTP/1.1 200 OK\r\n\r\nuntil close'",
+    "1, 'HTTP/1.1 200 OK\r\n\r\nuntil close'",
+    "0, 'nonsense\r\n\r\n'",
+    "1, 'HTTP/1.1 200 OK\r\nX-Parsleycart-Request-Identifier: other\r\nContent-Length: 0\r\n\r\n'"
+  })
+  void shouldSayUnknownAndRunAWriteOnceWhenTheAnswerIsUnusable(int member, String bytes) {
+    upstream.answerWith(bytes, true);
+    int before = upstream.requests();
+
+    HttpAnswer answer = mesh.send(entry(member), HttpCall.of("POST", "/write").body("charge"));
+
+    assertThat(outcome(answer)).isEqualTo("unknown");
+    assertThat(answer.status()).isIn(502, 504);
+    assertThat(upstream.requests()).isEqualTo(before + 1);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void shouldSayNotRunOnlyWhenNothingReachedTheUpstream(int member) {
+    int before = upstream.requests();
+
+    HttpAnswer answer = mesh.send(entry(member), HttpCall.of("POST", "/nowhere").body("charge"));
+
+    assertThat(outcome(answer)).isEqualTo("not-run");
+    assertThat(upstream.requests()).isEqualTo(before);
+  }
+
+  @Test
+  void shouldPassOnNoHeaderOfTheMeshThatACallerSets() {
+    mesh.send(
+        entry(0),
+        HttpCall.of("GET", "/read")
+            .header("X-Parsleycart-Upstream", "forged")
+            .header("X-Parsleycart-Outcome", "not-run")
+            .header("X-Parsleycart-Request-Identifier", "forged")
+            .header("X-Own", "kept"));
+
+    assertThat(upstream.lastHead()).doesNotContain("forged").doesNotContain("outcome");
+    assertThat(upstream.lastHead()).contains("x-own: kept");
+  }
+
+  @Test
+  void shouldRefuseCallsBetweenDaemonsFromStrangers() {
+    int before = upstream.requests();
+
+    HttpAnswer answer =
+        mesh.send(
+            mesh.member(0).daemons(),
+            HttpCall.of("GET", "/read")
+                .header("X-Parsleycart-Upstream", "u0")
+                .header("X-Parsleycart-Route", "read")
+                .header("X-Parsleycart-Request-Identifier", "1")
+                .header("X-Parsleycart-Deadline-Milliseconds", "1000"));
+
+    assertThat(outcome(answer)).isEqualTo("not-run");
+    assertThat(upstream.requests()).isEqualTo(before);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "Content-Length: +5\r\n\r\nhello"
+      })
+  void shouldRefuseRequestsWhoseLengthCanBeReadInTwoWays(String rest) throws IOException {
+    int before = upstream.requests();
+
+    String answer = raw("POST /write HTTP/1.1\r\nHost: x\r\n" + rest);
+
+    assertThat(answer).startsWith("HTTP/1.1 400");
+    assertThat(upstream.requests()).isEqualTo(before);
+  }
+
+  @Test
+  void shouldRefuseBodiesAboveTheLimit() throws IOException {
+    int before = upstream.requests();
+
+    String answer = raw("POST /write HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n");
+
+    assertThat(answer).startsWith("HTTP/1.1 413");
+    assertThat(upstream.requests()).isEqualTo(before);
+  }
+
+  private static String raw(String request) throws IOException {
+    String[] address = entry(0).split(":", 2);
+    try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+      socket.setSoTimeout((int) TIMEOUT.toMillis());
+      OutputStream output = socket.getOutputStream();
+      output.write(request.getBytes(StandardCharsets.ISO_8859_1));
+      output.flush();
+      byte[] buffer = new byte[1024];
+      int count = socket.getInputStream().read(buffer);
+      return new String(buffer, 0, Math.max(0, count), StandardCharsets.ISO_8859_1);
+    }
+  }
+}
--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/ScriptedUpstream.java
@@ -0,0 +1,110 @@
+package org.parsleycart.daemon.call;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An upstream that answers each request with bytes of the test's choice, on a plain socket. */
+final class ScriptedUpstream implements AutoCloseable {
+  private final ServerSocket server;
+  private final AtomicInteger requests = new AtomicInteger();
+  private final List<String> heads = new CopyOnWriteArrayList<>();
+  private volatile String answer = ok("fine");
+  private volatile boolean closeAfterwards;
+
+  ScriptedUpstream() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread thread = new Thread(this::accept, "scripted-upstream");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  static String ok(String body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getLocalPort();
+  }
+
+  void answerWith(String bytes, boolean thenClose) {
+    answer = bytes;
+    closeAfterwards = thenClose;
+  }
+
+  int requests() {
+    return requests.get();
+  }
+
+  /** Returns the head of the last request, in small letters. */
+  String lastHead() {
+    return heads.get(heads.size() - 1);
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        Thread thread = new Thread(() -> serve(socket), "scripted-connection");
+        thread.setDaemon(true);
+        thread.start();
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      BufferedReader reader =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+      boolean open = true;
+      while (open) {
+        open = serveOne(socket, reader);
+      }
+    } catch (IOException e) {
+      // The other side closed the connection.
+    }
+  }
+
+  private boolean serveOne(Socket socket, BufferedReader reader) throws IOException {
+    StringBuilder head = new StringBuilder();
+    int length = 0;
+    String line = reader.readLine();
+    while (line != null && !line.isEmpty()) {
+      String small = line.toLowerCase(Locale.ROOT);
+      head.append(small).append('\n');
+      if (small.startsWith("content-length:")) {
+        length = Integer.parseInt(small.substring("content-length:".length()).trim());
+      }
+      line = reader.readLine();
+    }
+    if (line == null) {
+      return false;
+    }
+    for (int index = 0; index < length; index++) {
+      if (reader.read() < 0) {
+        return false;
+      }
+    }
+    heads.add(head.toString());
+    requests.incrementAndGet();
+    socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+    return !closeAfterwards;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
