Prove moves of traffic among real daemons; start from peers within seconds

Cause: a daemon that started while the platform was down stayed unready, since it asked a second peer only after up to 30 s. Ruled out: one peer's word as enough (it may lag). Change: until it serves, a daemon synchronizes with a random peer about every half second.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
@@ -26,6 +26,7 @@
 public final class PlatformDuty {
   private static final long STEP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final Duration SYNCHRONIZATION_INTERVAL = Duration.ofSeconds(20);
+  private static final Duration START_INTERVAL = Duration.ofMillis(500);
   private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
   private static final Duration ISOLATION_AFTER = Duration.ofSeconds(5);
   private static final Duration FACT_INTERVAL = Duration.ofSeconds(1);
@@ -141,7 +142,8 @@
     if (others.isEmpty()) {
       return;
     }
-    long interval = SYNCHRONIZATION_INTERVAL.toMillis();
+    Duration pace = state.isServing() ? SYNCHRONIZATION_INTERVAL : START_INTERVAL;
+    long interval = pace.toMillis();
     nextSynchronization = now.plusMillis(interval / 2 + random.nextLong(interval));
     pulls.synchronize(others.get(random.nextInt(others.size())), view, true);
   }
--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
@@ -0,0 +1,208 @@
+package org.parsleycart.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.parsleycart.link.http.HttpAnswer;
+import org.parsleycart.link.http.HttpCall;
+import org.parsleycart.standin.PlatformFault;
+import org.parsleycart.standin.UpstreamStandin;
+
+/** Moves of traffic among real daemons: zones, platform outages, stops and deaths. */
+class MeshTest {
+  private static final String CONFIGURATION =
+      """
+      zones: [{name: abdali}, {name: marka}]
+      contracts: [{name: read, kind: interactive-read, deadline: 2s}]
+      services: [{name: ledger, version: v1}]
+      routes: [{name: read, pathPrefix: /read, service: ledger, contract: read}]
+      """;
+  private TestMesh mesh;
+  private UpstreamStandin inAbdali;
+  private UpstreamStandin inMarka;
+
+  @BeforeEach
+  void start() throws IOException {
+    mesh = TestMesh.start("abdali", "marka");
+    mesh.apply(CONFIGURATION);
+    inAbdali = upstream("abdali");
+    inMarka = upstream("marka");
+    mesh.announce(mesh.member(0), "u-abdali", "ledger", "v1", inAbdali.address());
+    mesh.announce(mesh.member(1), "u-marka", "ledger", "v1", inMarka.address());
+    awaitBoth(1, 1);
+  }
+
+  @AfterEach
+  void stop() {
+    mesh.close();
+    inAbdali.close();
+    inMarka.close();
+  }
+
+  private static UpstreamStandin upstream(String name) {
+    return UpstreamStandin.start(
+        name,
+        "v1",
+        UpstreamStandin.warmModel(8, Duration.ofMillis(5)),
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  }
+
+  private void awaitBoth(int abdali, int marka) {
+    for (int member = 0; member < 2; member++) {
+      mesh.awaitUpstreams(mesh.member(member), "ledger v1 abdali", abdali);
+      mesh.awaitUpstreams(mesh.member(member), "ledger v1 marka", marka);
+    }
+  }
+
+  private HttpAnswer call(int member) {
+    return mesh.send(mesh.member(member).callers(), HttpCall.of("GET", "/read"));
+  }
+
+  private HttpAnswer operate(int member, String methodAndPath) {
+    String[] parts = methodAndPath.split(" ", 2);
+    return mesh.send(mesh.member(member).operators(), HttpCall.of(parts[0], parts[1]));
+  }
+
+  @Test
+  void shouldSendNothingToAWithdrawnZoneAndComeBackColdOnItsReturn() {
+    assertThat(call(0).header("x-upstream")).contains("abdali");
+
+    assertThat(operate(1, "POST /zones/abdali/withdraw").status()).isEqualTo(200);
+    awaitBoth(0, 1);
+
+    assertThat(call(0).header("x-upstream")).contains("marka");
+    assertThat(operate(0, "GET /status").text())
+        .contains("{\"name\":\"abdali\",\"withdrawn\":true}");
+
+    assertThat(operate(0, "POST /zones/abdali/return").status()).isEqualTo(200);
+    awaitBoth(1, 1);
+
+    assertThat(call(0).header("x-upstream")).contains("abdali");
+    assertThat(operate(0, "GET /status").text()).contains("\"load\":\"0/2 cold\"");
+  }
+
+  @Test
+  void shouldRefuseToWithdrawTheLastZoneUnlessForced() {
+    operate(0, "POST /zones/abdali/withdraw");
+    awaitBoth(0, 1);
+
+    HttpAnswer refused = operate(0, "POST /zones/marka/withdraw");
+
+    assertThat(refused.status()).isEqualTo(409);
+    assertThat(refused.text()).contains("ledger: 0 slots in use, 0 slots outside marka");
+    assertThat(operate(0, "POST /zones/marka/withdraw?force=true").status()).isEqualTo(200);
+    awaitBoth(0, 0);
+    assertThat(call(0).header("x-parsleycart-outcome")).contains("not-run");
+  }
+
+  @Test
+  void shouldWithdrawAtOnceWhenThePlatformIsDownAndMakeItDurableLater() {
+    mesh.platform().setFault(PlatformFault.DOWN);
+
+    HttpAnswer answer = operate(0, "POST /zones/abdali/withdraw");
+
+    assertThat(answer.text()).contains("\"provisional\":true");
+    awaitBoth(0, 1);
+    mesh.platform().setFault(PlatformFault.NONE);
+    mesh.await(() -> operate(1, "GET /configuration").text().contains("\"zone-abdali\""));
+    assertThat(operate(0, "GET /status").text())
+        .contains("{\"name\":\"abdali\",\"withdrawn\":true}");
+  }
+
+  @Test
+  void shouldGoOnServingWhenThePlatformIsDown() {
+    mesh.platform().setFault(PlatformFault.DOWN);
+
+    HttpAnswer refused =
+        mesh.send(
+            mesh.member(0).operators(),
+            HttpCall.of("POST", "/changes").body("zones: [{name: khalda}]"));
+
+    assertThat(refused.status()).isIn(503, 504);
+    assertThat(call(0).status()).isEqualTo(200);
+    assertThat(operate(1, "GET /configuration").text()).doesNotContain("khalda");
+  }
+
+  @Test
+  void shouldCutNoCallWhenADaemonStopsAsPlanned() throws Exception {
+    TestMesh.Member entry = mesh.add("abdali");
+    mesh.awaitUpstreams(entry, "ledger v1 abdali", 1);
+    mesh.awaitUpstreams(entry, "ledger v1 marka", 1);
+    HttpCall read = HttpCall.of("GET", "/read");
+    assertThat(mesh.send(entry.callers(), read).header("x-upstream")).contains("abdali");
+    AtomicBoolean stopped = new AtomicBoolean();
+    AtomicInteger failures = new AtomicInteger();
+    CompletableFuture<Void> calls =
+        CompletableFuture.runAsync(
+            () -> {
+              while (!stopped.get()) {
+                failures.addAndGet(mesh.send(entry.callers(), read).status() == 200 ? 0 : 1);
+              }
+            });
+
+    mesh.member(0).daemon().close();
+    stopped.set(true);
+    calls.get();
+
+    assertThat(failures.get()).isZero();
+    assertThat(mesh.send(entry.callers(), read).header("x-upstream")).contains("marka");
+  }
+
+  @Test
+  void shouldGoOnWithTheOtherDaemonWhenOneDies() {
+    mesh.member(0).daemon().kill();
+    int failures = 0;
+    for (int index = 0; index < 20; index++) {
+      failures += call(1).status() == 200 ? 0 : 1;
+    }
+
+    assertThat(failures).isZero();
+  }
+
+  @Test
+  void shouldBecomeReadyFromPeersWhenThePlatformIsDown() throws IOException {
+    String before = operate(0, "GET /configuration").text();
+    mesh.platform().setFault(PlatformFault.DOWN);
+
+    TestMesh.Member late = mesh.add("marka", mesh.member(0).settings().identifier());
+    mesh.await(() -> mesh.send(late.operators(), HttpCall.of("GET", "/readyz")).status() == 200);
+
+    assertThat(mesh.send(late.operators(), HttpCall.of("GET", "/configuration")).text())
+        .isEqualTo(before);
+  }
+
+  @Test
+  void shouldNotBecomeReadyWhenThereIsNeitherPlatformNorPeer() throws IOException {
+    mesh.platform().setFault(PlatformFault.DOWN);
+
+    TestMesh.Member alone = mesh.add("marka");
+
+    HttpAnswer call = mesh.send(alone.callers(), HttpCall.of("GET", "/read"));
+    assertThat(call.status()).isEqualTo(503);
+    assertThat(call.header("x-parsleycart-reason")).contains("not-ready");
+  }
+
+  @Test
+  void shouldRefuseAMalformedChangeAndChangeNothing() {
+    String before = operate(0, "GET /configuration").text();
+
+    HttpAnswer answer =
+        mesh.send(
+            mesh.member(0).operators(),
+            HttpCall.of("POST", "/changes?source=bad.yaml")
+                .body("routes: [{name: x, pathPrefix: y}]\nsurprise: 1"));
+
+    assertThat(answer.status()).isEqualTo(400);
+    assertThat(answer.text()).contains("bad.yaml:1 at routes[0].pathPrefix").contains("surprise");
+    assertThat(operate(0, "GET /configuration").text()).isEqualTo(before);
+  }
+}
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/TestMesh.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/TestMesh.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.link.Addresses;
 import org.parsleycart.link.http.HttpAnswer;
@@ -57,11 +59,11 @@
     return mesh;
   }
 
-  /** Starts one more daemon. */
-  public Member add(String zone) throws IOException {
+  /** Starts one more daemon, which looks for peers at the given control addresses first. */
+  public Member add(String zone, String... seeds) throws IOException {
     for (int attempt = 0; attempt < BIND_ATTEMPTS; attempt++) {
       DaemonSettings settings =
-          DaemonSettings.parse("test", settingsText(zone, freePorts(4))).get();
+          DaemonSettings.parse("test", settingsText(zone, freePorts(4), seeds)).get();
       try {
         Member member = new Member(Daemon.start(settings), settings);
         members.add(member);
@@ -73,17 +75,24 @@
     throw new IOException("no free ports");
   }
 
-  private String settingsText(String zone, List<Integer> ports) {
+  private String settingsText(String zone, List<Integer> ports, String... seeds) {
     return """
         zone: %s
         addresses: {callers: "127.0.0.1:%d", daemons: "127.0.0.1:%d",
                     control: "127.0.0.1:%d", operators: "127.0.0.1:%d"}
         platform: "%s"
         peerKeys: [test-key-0123456789]
+        seeds: [%s]
         limits: {maximumBodyBytes: 100000, replayableBodyBytes: 1000, drainTimeout: 5s}
         """
         .formatted(
-            zone, ports.get(0), ports.get(1), ports.get(2), ports.get(3), platform.address());
+            zone,
+            ports.get(0),
+            ports.get(1),
+            ports.get(2),
+            ports.get(3),
+            platform.address(),
+            Stream.of(seeds).map(seed -> '"' + seed + '"').collect(Collectors.joining(", ")));
   }
 
   private static List<Integer> freePorts(int count) throws IOException {
