Keep service through a zone's leaving: free redirects, honest limits, outliers

Cause, from the zone trial at 2000 calls/s, four zones of 20 slots: - a refusal that only says 'elsewhere' was charged to the retry budget, so 183 of 2000 calls failed in the second of a withdrawal; - the usual latency drifted up 2% each round and the limit chased the latency that it caused itself; - an upstream without a report was taken to bear all of its slots, so a returning cold one was flooded; - an upstream that fails fast drew traffic, as it looked least loaded; - calls waited behind others until their deadline. Ruled out: a larger budget (it multiplies retries under overload). Change: such refusals retry free of budget and set the upstream aside for a second; the usual latency adapts upwards only at the cold limit; an unknown upstream counts as cold; five failed answers set aside, but never most of a pool; the wait ahead counts against the deadline.

--- /dev/null
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/BenchMain.java
@@ -0,0 +1,24 @@
+package org.parsleycart.bench;
+
+import org.parsleycart.link.LibraryLogs;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The command {@code parsleycart-bench}. */
+@Command(
+    name = "parsleycart-bench",
+    description = "Measures decisions and whole paths.",
+    mixinStandardHelpOptions = true,
+    subcommands = {
+      SpreadCommand.class,
+      ZoneCommand.class,
+    })
+public final class BenchMain {
+  private BenchMain() {}
+
+  /** Runs the command and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    LibraryLogs.onlyWarnings();
+    System.exit(new CommandLine(new BenchMain()).execute(arguments));
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -33,6 +33,8 @@
  * deadline passes. Used by the input/output thread of its exchange.
  */
 final class EntryCall {
+  private static final int FIRST_SERVER_ERROR = 500;
+
   private final EntryParts parts;
   private final HttpServerExchange exchange;
   private final String identifier;
@@ -173,7 +175,7 @@
     late |= end.fault() == Fault.LATE;
     boolean bodyUntouched = body.isReplayable() || end.fault() == Fault.UNREACHABLE;
     Duration remaining = Duration.between(parts.clock().instant(), deadline);
-    if (bodyUntouched && parts.retries().tryAgain(contract, attempts, end.outcome(), remaining)) {
+    if (bodyUntouched && tryAgain(end, remaining)) {
       parts.metrics().retried();
       attempt(body);
     } else {
@@ -181,6 +183,13 @@
     }
   }
 
+  private boolean tryAgain(AttemptEnd end, Duration remaining) {
+    boolean refused = end.outcome() == Outcome.NOT_RUN && end.fault() == Fault.NONE;
+    return refused
+        ? parts.retries().tryAgainAfterRefusal(contract, attempts, lastRefusal, remaining)
+        : parts.retries().tryAgain(contract, attempts, end.outcome(), remaining);
+  }
+
   private void giveUp() {
     if (exchange.isResponseStarted()) {
       IoUtils.safeClose(exchange.getConnection());
@@ -198,6 +207,18 @@
     span.with("parsleycart.attempts", Integer.toString(attempts)).end(outcome);
   }
 
+  private void noteEnd(UpstreamLoad load, AttemptEnd end) {
+    load.ended();
+    if (end.delivered() && end.status().isPresent()) {
+      boolean failed = end.status().getAsInt() >= FIRST_SERVER_ERROR;
+      load.answered(failed, parts.clock().instant());
+    }
+    if (end.outcome() == Outcome.NOT_RUN && end.fault() == Fault.NONE) {
+      load.refused(lastRefusal, parts.clock().instant());
+    }
+    noteFailure(load, end.fault());
+  }
+
   private void noteFailure(UpstreamLoad load, Fault fault) {
     boolean daemonAtFault = fault == Fault.UNREACHABLE || fault == Fault.BROKEN;
     if (daemonAtFault || fault == Fault.LATE || fault == Fault.UNUSABLE) {
@@ -221,9 +242,10 @@
 
     @Override
     public void refused(RefusalReason reason) {
-      load.ended();
       lastRefusal = reason;
-      attemptEnded(body, AttemptEnd.failed(Outcome.NOT_RUN, Fault.NONE));
+      AttemptEnd end = AttemptEnd.failed(Outcome.NOT_RUN, Fault.NONE);
+      noteEnd(load, end);
+      attemptEnded(body, end);
     }
 
     @Override
@@ -235,8 +257,7 @@
 
     @Override
     public void ended(AttemptEnd end) {
-      load.ended();
-      noteFailure(load, end.fault());
+      noteEnd(load, end);
       lastRefusal = RefusalReason.UNREACHABLE;
       attemptEnded(body, end);
     }
@@ -272,8 +293,7 @@
 
     @Override
     public void ended(AttemptEnd end) {
-      load.ended();
-      noteFailure(load, end.fault());
+      noteEnd(load, end);
       if (end.fault() == Fault.UNREACHABLE) {
         lastRefusal = RefusalReason.UNREACHABLE;
       }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipDuty.java
@@ -150,7 +150,7 @@
             state.zone(),
             zone -> state.facts().isWithdrawn(state.configuration(), zone));
     state.setDirectory(directory);
-    loads.retain(directory);
+    loads.retain(directory.all());
   }
 
   private MembershipView toView() {
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -51,7 +51,7 @@
     if (closed.isPresent()) {
       return Admission.ofRefusal(call, closed.get());
     }
-    if (cannotMeetDeadline(call, clock.instant())) {
+    if (cannotMeetDeadline(call, clock.instant().plus(expectedWait(call)))) {
       return Admission.ofRefusal(call, RefusalReason.DEADLINE);
     }
     List<Admission.Refused<C>> refused = new ArrayList<>();
@@ -162,6 +162,16 @@
     return started;
   }
 
+  /** Returns how long the calls that go first keep all slots busy, at their usual latency. */
+  private Duration expectedWait(WaitingCall<C> call) {
+    if (running < limit.current()) {
+      return Duration.ZERO;
+    }
+    Comparator<WaitingCall<C>> order = WaitingCall.order();
+    long ahead = queue.stream().filter(waiting -> order.compare(waiting, call) <= 0).count();
+    return limit.usualLatency(call.route()).multipliedBy(ahead).dividedBy(limit.current());
+  }
+
   private boolean cannotMeetDeadline(WaitingCall<C> call, Instant now) {
     Duration usual = limit.usualLatency(call.route());
     return now.plus(usual).isAfter(call.deadline());
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/ConcurrencyLimit.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/ConcurrencyLimit.java
@@ -10,9 +10,11 @@
  * How many calls an upstream bears at once, learnt from latency and failures.
  *
  * <p>Starts at the cold limit. After each round of answers the limit grows when it was used and the
- * answers came about as fast as the fastest rounds of their routes, and shrinks when they came much
- * slower. A failed connection, or several answers far above the usual latency in a row, mean that
- * the upstream turned cold, and the limit falls back at once. Used under the lock of its owner.
+ * answers came about as fast as usual on their routes, and shrinks when they came much slower. What
+ * is usual is learnt from fast answers, and from slow ones only at the cold limit, where slowness
+ * is no effect of the limit itself; so the limit cannot chase the latency that it causes. A failed
+ * connection, or several answers far above the usual latency in a row, mean that the upstream
+ * turned cold, and the limit falls back at once. Used under the lock of its owner.
  */
 public final class ConcurrencyLimit {
   private static final int SHORTEST_ROUND = 4;
@@ -22,9 +24,10 @@
   private static final int COLD_AFTER_SLOW_ANSWERS = 3;
   private static final double GROWTH = 0.25;
   private static final double USED_SHARE = 0.75;
-  private static final double BASELINE_DRIFT = 1.02;
+  private static final double GROW_UP_TO_RATIO = 1.5;
   private static final double MINIMUM_BASELINE_NANOSECONDS = 500_000;
   private static final double BASELINE_WEIGHT = 0.3;
+  private static final double ADAPTATION_WEIGHT = 0.02;
 
   private final int slots;
   private final int coldLimit;
@@ -152,14 +155,21 @@
     if (ratio > SHRINK_ABOVE_RATIO) {
       double factor = Math.max(STRONGEST_SHRINK, SHRINK_ABOVE_RATIO / ratio);
       limit = Math.max(coldLimit, limit * factor);
-    } else if (roundPeak >= limit * USED_SHARE) {
+    } else if (ratio <= GROW_UP_TO_RATIO && roundPeak >= limit * USED_SHARE) {
       limit = Math.min(slots, limit + Math.max(1.0, limit * GROWTH));
     }
-    baselineNanoseconds.replaceAll((route, baseline) -> baseline * BASELINE_DRIFT);
+    if (ratio > GROW_UP_TO_RATIO && current() <= coldLimit) {
+      adaptBaselines(ratio);
+    }
     condition = conditionAfterRound(ratio);
     startRound();
   }
 
+  private void adaptBaselines(double ratio) {
+    double factor = 1 + (ratio - 1) * ADAPTATION_WEIGHT;
+    baselineNanoseconds.replaceAll((route, baseline) -> baseline * factor);
+  }
+
   private UpstreamCondition conditionAfterRound(double ratio) {
     if (current() >= slots || (condition == UpstreamCondition.WARM && current() > coldLimit)) {
       return UpstreamCondition.WARM;
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -7,9 +7,24 @@
 public enum RefusalReason {
   NO_ROUTE("no-route", 404),
   NO_UPSTREAM("no-upstream", 503),
-  UPSTREAM_GONE("upstream-gone", 503),
-  DRAINING("draining", 503),
-  ZONE_WITHDRAWN("zone-withdrawn", 503),
+  UPSTREAM_GONE("upstream-gone", 503) {
+    @Override
+    public boolean meansElsewhere() {
+      return true;
+    }
+  },
+  DRAINING("draining", 503) {
+    @Override
+    public boolean meansElsewhere() {
+      return true;
+    }
+  },
+  ZONE_WITHDRAWN("zone-withdrawn", 503) {
+    @Override
+    public boolean meansElsewhere() {
+      return true;
+    }
+  },
   ISOLATED("isolated", 503),
   QUEUE_FULL("queue-full", 503),
   DEADLINE("deadline", 504),
@@ -31,6 +46,14 @@
     return statusCode;
   }
 
+  /**
+   * Returns whether the upstream takes no calls at all for now, whatever its load, so that the call
+   * belongs elsewhere.
+   */
+  public boolean meansElsewhere() {
+    return false;
+  }
+
   /** Returns the reason with the given label; empty also for no label. */
   public static Optional<RefusalReason> ofLabel(String label) {
     return Stream.of(values()).filter(reason -> reason.label.equals(label)).findFirst();
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/MembershipTable.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/MembershipTable.java
@@ -19,13 +19,24 @@
  * old record that arrives late does not bring them back.
  */
 public final class MembershipTable {
-  private final Map<String, MemberRecord> records = new HashMap<>();
-  private final Map<String, Instant> statusSince = new HashMap<>();
-  private final List<String> present = new ArrayList<>();
-  private final Map<String, Integer> presentPositions = new HashMap<>();
+  private static final int NOT_PRESENT = -1;
+
+  private final Map<String, Entry> entries = new HashMap<>();
+  private final List<Entry> present = new ArrayList<>();
   private final String self;
   private long changes;
 
+  private static final class Entry {
+    private MemberRecord record;
+    private Instant since;
+    private int position = NOT_PRESENT;
+
+    private Entry(MemberRecord record, Instant since) {
+      this.record = record;
+      this.since = since;
+    }
+  }
+
   // -- construction
 
   /** Creates a table that holds only the daemon's own record. */
@@ -45,8 +56,8 @@
    */
   public boolean merge(MemberRecord record, Instant now) {
     requireNonNull(record, "record is null");
-    MemberRecord held = records.get(record.identifier());
-    if (held != null && !record.isNewerThan(held)) {
+    Entry held = entries.get(record.identifier());
+    if (held != null && !record.isNewerThan(held.record)) {
       return false;
     }
     store(record, now);
@@ -55,65 +66,57 @@
 
   /** Removes tombstones older than the given age. */
   public void removeTombstones(Duration age, Instant now) {
-    List<String> expired =
-        records.values().stream()
-            .filter(record -> !record.status().isPresent())
-            .map(MemberRecord::identifier)
-            .filter(identifier -> statusSince.get(identifier).plus(age).isBefore(now))
-            .toList();
-    expired.forEach(records::remove);
-    expired.forEach(statusSince::remove);
+    Instant oldest = now.minus(age);
+    entries
+        .values()
+        .removeIf(entry -> !entry.record.status().isPresent() && entry.since.isBefore(oldest));
   }
 
   private void store(MemberRecord record, Instant now) {
-    MemberRecord held = records.put(record.identifier(), record);
-    if (held == null || held.status() != record.status()) {
-      statusSince.put(record.identifier(), now);
+    Entry entry = entries.computeIfAbsent(record.identifier(), unused -> new Entry(record, now));
+    if (entry.record.status() != record.status()) {
+      entry.since = now;
     }
-    updatePresent(record);
+    entry.record = record;
+    updatePresent(entry);
     changes++;
   }
 
-  private void updatePresent(MemberRecord record) {
-    boolean listed = presentPositions.containsKey(record.identifier());
+  private void updatePresent(Entry entry) {
+    MemberRecord record = entry.record;
     boolean wanted = record.status().isPresent() && !record.identifier().equals(self);
-    if (wanted && !listed) {
-      presentPositions.put(record.identifier(), present.size());
-      present.add(record.identifier());
-    } else if (!wanted && listed) {
-      removePresent(record.identifier());
+    if (wanted && entry.position == NOT_PRESENT) {
+      entry.position = present.size();
+      present.add(entry);
+    } else if (!wanted && entry.position != NOT_PRESENT) {
+      removePresent(entry);
     }
   }
 
-  private void removePresent(String identifier) {
-    int position = presentPositions.remove(identifier);
-    String last = present.remove(present.size() - 1);
-    if (!last.equals(identifier)) {
-      present.set(position, last);
-      presentPositions.put(last, position);
+  private void removePresent(Entry entry) {
+    Entry last = present.remove(present.size() - 1);
+    if (last != entry) {
+      present.set(entry.position, last);
+      last.position = entry.position;
     }
+    entry.position = NOT_PRESENT;
   }
 
   // -- queries
 
   /** Returns the record of the daemon itself. */
   public MemberRecord self() {
-    return records.get(self);
+    return entries.get(self).record;
   }
 
   /** Returns the record of a member. */
   public Optional<MemberRecord> find(String identifier) {
-    return Optional.ofNullable(records.get(identifier));
+    return Optional.ofNullable(entries.get(identifier)).map(entry -> entry.record);
   }
 
   /** Returns all records, tombstones included. */
   public Stream<MemberRecord> all() {
-    return records.values().stream();
-  }
-
-  /** Returns when the member came to its status. */
-  public Instant since(String identifier) {
-    return statusSince.getOrDefault(identifier, Instant.MIN);
+    return entries.values().stream().map(entry -> entry.record);
   }
 
   /** Returns how many members are present, the daemon itself included. */
@@ -130,13 +133,12 @@
   public Optional<MemberRecord> random(RandomGenerator random) {
     return present.isEmpty()
         ? Optional.empty()
-        : Optional.of(records.get(present.get(random.nextInt(present.size()))));
+        : Optional.of(present.get(random.nextInt(present.size())).record);
   }
 
   /** Returns a random member held dead. */
   public Optional<MemberRecord> randomDead(RandomGenerator random) {
-    List<MemberRecord> dead =
-        records.values().stream().filter(record -> record.status() == MemberStatus.DEAD).toList();
+    List<MemberRecord> dead = all().filter(record -> record.status() == MemberStatus.DEAD).toList();
     return dead.isEmpty() ? Optional.empty() : Optional.of(dead.get(random.nextInt(dead.size())));
   }
 
@@ -147,7 +149,7 @@
         .limit(4L * wanted)
         .distinct()
         .limit(wanted)
-        .map(position -> records.get(present.get(position)))
+        .map(position -> present.get(position).record)
         .toList();
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/LoadBoard.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/LoadBoard.java
@@ -2,9 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** The loads of all upstreams that one entry knows. Safe for use by several threads. */
 public final class LoadBoard {
@@ -18,16 +18,13 @@
     UpstreamLoad held = loads.get(candidate.identifier());
     return held != null
         ? held
-        : loads.computeIfAbsent(
-            candidate.identifier(), unused -> new UpstreamLoad(candidate.upstream().slots()));
+        : loads.computeIfAbsent(candidate.identifier(), unused -> new UpstreamLoad());
   }
 
   // -- updates
 
-  /** Forgets upstreams that have left the directory. */
-  public void retain(UpstreamDirectory directory) {
-    Set<String> present =
-        directory.all().map(Candidate::identifier).collect(Collectors.toUnmodifiableSet());
-    loads.keySet().retainAll(present);
+  /** Forgets all upstreams but those given; one that comes back may have started anew. */
+  public void retain(Stream<Candidate> candidates) {
+    loads.keySet().retainAll(candidates.map(Candidate::identifier).collect(Collectors.toSet()));
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import org.parsleycart.decision.Outcome;
+import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.model.Contract;
 
 /**
@@ -45,8 +46,28 @@
   public boolean tryAgain(Contract contract, int attempts, Outcome outcome, Duration remaining) {
     requireNonNull(contract, "contract is null");
     return outcome.mayRetry(contract.requestKind())
-        && attempts < contract.maximumAttempts()
-        && remaining.compareTo(SHORTEST_USEFUL_TIME) > 0
+        && isWithinBounds(contract, attempts, remaining)
         && budget.take();
   }
+
+  /**
+   * Returns whether to try again after a refusal. When the refusal says that the call belongs
+   * elsewhere it is no sign of overload, and the budget is not charged.
+   *
+   * @param contract the contract of the route
+   * @param attempts how often the call was tried
+   * @param reason why it was refused
+   * @param remaining the time until the deadline
+   */
+  public boolean tryAgainAfterRefusal(
+      Contract contract, int attempts, RefusalReason reason, Duration remaining) {
+    requireNonNull(reason, "reason is null");
+    return reason.meansElsewhere()
+        ? isWithinBounds(contract, attempts, remaining)
+        : tryAgain(contract, attempts, Outcome.NOT_RUN, remaining);
+  }
+
+  private static boolean isWithinBounds(Contract contract, int attempts, Duration remaining) {
+    return attempts < contract.maximumAttempts() && remaining.compareTo(SHORTEST_USEFUL_TIME) > 0;
+  }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.parsleycart.decision.admission.LoadReport;
+import org.parsleycart.decision.admission.RefusalReason;
 
 /**
  * What one entry knows of the load of one upstream: its own calls in flight, the last report that
@@ -14,19 +15,26 @@
 public final class UpstreamLoad {
   private static final int FAILURES_BEFORE_SETTING_ASIDE = 2;
   private static final Duration SHORTEST_SETTING_ASIDE = Duration.ofMillis(500);
+  private static final Duration SETTING_ASIDE_AFTER_REFUSAL = Duration.ofSeconds(1);
   private static final int MOST_DOUBLINGS = 6;
 
+  /**
+   * Failures answered in a row that set an upstream aside; more, as one request may be at fault.
+   */
+  private static final int FAILED_ANSWERS_BEFORE_SETTING_ASIDE = 5;
+
+  /** What an upstream bears before its first report: it may have just started. */
+  private static final int ASSUMED_LIMIT = 2;
+
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger consecutiveFailures = new AtomicInteger();
-  private volatile int reportedLimit;
+  private volatile int reportedLimit = ASSUMED_LIMIT;
   private volatile int reportedByOthers;
   private volatile Instant setAsideUntil = Instant.MIN;
 
   // -- construction
 
-  UpstreamLoad(int slots) {
-    this.reportedLimit = slots;
-  }
+  UpstreamLoad() {}
 
   // -- events
 
@@ -43,16 +51,36 @@
   /** Takes the load that an answer reported. */
   public void reported(LoadReport report) {
     requireNonNull(report, "report is null");
-    consecutiveFailures.set(0);
     reportedLimit = Math.max(1, report.limit());
     reportedByOthers = Math.max(0, report.busy() - inFlight.get());
   }
 
+  /** Takes note of a whole answer and whether it says that the upstream failed. */
+  public void answered(boolean failed, Instant now) {
+    if (failed) {
+      setAsideAfter(FAILED_ANSWERS_BEFORE_SETTING_ASIDE, now);
+    } else {
+      consecutiveFailures.set(0);
+    }
+  }
+
   /** Takes note that the daemon beside the upstream could not be reached or broke off. */
   public void failed(Instant now) {
+    setAsideAfter(FAILURES_BEFORE_SETTING_ASIDE, now);
+  }
+
+  /** Takes note of a refusal; one that sends calls elsewhere sets the upstream aside at once. */
+  public void refused(RefusalReason reason, Instant now) {
+    requireNonNull(reason, "reason is null");
+    if (reason.meansElsewhere()) {
+      setAsideUntil = now.plus(SETTING_ASIDE_AFTER_REFUSAL);
+    }
+  }
+
+  private void setAsideAfter(int threshold, Instant now) {
     int failures = consecutiveFailures.incrementAndGet();
-    if (failures >= FAILURES_BEFORE_SETTING_ASIDE) {
-      int doublings = Math.min(MOST_DOUBLINGS, failures - FAILURES_BEFORE_SETTING_ASIDE);
+    if (failures >= threshold) {
+      int doublings = Math.min(MOST_DOUBLINGS, failures - threshold);
       setAsideUntil = now.plus(SHORTEST_SETTING_ASIDE.multipliedBy(1L << doublings));
     }
   }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -18,6 +19,7 @@
   private static final double SPILL_ABOVE_UTILIZATION = 0.8;
   private static final double FAR_PENALTY = 0.2;
   private static final int DRAWS = 6;
+  private static final int SAMPLE = 16;
 
   private final LoadBoard loads;
 
@@ -42,11 +44,12 @@
   public Optional<Candidate> choose(
       CandidatePool pool, Set<String> tried, Instant now, RandomGenerator random) {
     requireNonNull(pool, "pool is null");
-    Optional<Candidate> near = betterOfTwo(pool.near(), tried, now, random);
+    Predicate<Candidate> usable = usable(pool, tried, now);
+    Optional<Candidate> near = betterOfTwo(pool.near(), usable, random);
     if (near.isPresent() && utilization(near.get()) < SPILL_ABOVE_UTILIZATION) {
       return near;
     }
-    Optional<Candidate> far = betterOfTwo(pool.far(), tried, now, random);
+    Optional<Candidate> far = betterOfTwo(pool.far(), usable, random);
     if (near.isPresent() && far.isPresent()) {
       boolean farIsBetter = utilization(far.get()) + FAR_PENALTY < utilization(near.get());
       return farIsBetter ? far : near;
@@ -55,31 +58,38 @@
         .or(() -> pool.all().filter(each -> !tried.contains(each.identifier())).findFirst());
   }
 
+  /** Returns the test of candidates; being set aside counts only while most of the pool is not. */
+  private Predicate<Candidate> usable(CandidatePool pool, Set<String> tried, Instant now) {
+    Predicate<Candidate> untried = candidate -> !tried.contains(candidate.identifier());
+    long sampled = Math.min(SAMPLE, pool.size());
+    long setAside = pool.all().limit(SAMPLE).filter(each -> isSetAside(each, now)).count();
+    return setAside * 2 > sampled ? untried : untried.and(candidate -> !isSetAside(candidate, now));
+  }
+
+  private boolean isSetAside(Candidate candidate, Instant now) {
+    return loads.of(candidate).isSetAside(now);
+  }
+
   private Optional<Candidate> betterOfTwo(
-      List<Candidate> side, Set<String> tried, Instant now, RandomGenerator random) {
-    Optional<Candidate> first = draw(side, tried, now, random);
+      List<Candidate> side, Predicate<Candidate> usable, RandomGenerator random) {
+    Optional<Candidate> first = draw(side, usable, random);
     if (first.isEmpty() || side.size() == 1) {
       return first;
     }
-    Optional<Candidate> second = draw(side, tried, now, random);
-    return second
-        .filter(candidate -> utilization(candidate) < utilization(first.get()))
+    return draw(side, usable, random)
+        .filter(second -> utilization(second) < utilization(first.get()))
         .or(() -> first);
   }
 
-  private Optional<Candidate> draw(
-      List<Candidate> side, Set<String> tried, Instant now, RandomGenerator random) {
+  private static Optional<Candidate> draw(
+      List<Candidate> side, Predicate<Candidate> usable, RandomGenerator random) {
     for (int draw = 0; draw < DRAWS && !side.isEmpty(); draw++) {
       Candidate candidate = side.get(random.nextInt(side.size()));
-      if (isUsable(candidate, tried, now)) {
+      if (usable.test(candidate)) {
         return Optional.of(candidate);
       }
     }
-    return side.stream().filter(candidate -> isUsable(candidate, tried, now)).findFirst();
-  }
-
-  private boolean isUsable(Candidate candidate, Set<String> tried, Instant now) {
-    return !tried.contains(candidate.identifier()) && !loads.of(candidate).isSetAside(now);
+    return side.stream().filter(usable).findFirst();
   }
 
   private double utilization(Candidate candidate) {
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/admission/AdmissionControlTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/admission/AdmissionControlTest.java
@@ -75,6 +75,35 @@
     }
   }
 
+  @Nested
+  class Overload {
+    /** Answers as an upstream does that bears so many calls and slows down with their square. */
+    private int settledLimit(int bears, int answers) {
+      for (int answer = 0; answer < answers; answer++) {
+        boolean full = false;
+        while (!full) {
+          full = offer("load").start().isEmpty();
+        }
+        double load = Math.max(1, (double) admission.running() / bears);
+        admission.answered(ROUTE, Duration.ofNanos((long) (USUAL.toNanos() * load * load)));
+      }
+      return admission.load().limit();
+    }
+
+    @Test
+    void shouldNotChaseTheLatencyThatItCausesItself() {
+      assertThat(settledLimit(4, 5_000)).isLessThanOrEqualTo(6);
+    }
+
+    @Test
+    void shouldAdaptWhenAnswersBecomeSlowerForGood() {
+      warmUp(USUAL, 500);
+      warmUp(USUAL.multipliedBy(3), 20_000);
+
+      assertThat(admission.load().limit()).isGreaterThanOrEqualTo(SLOTS / 2);
+    }
+  }
+
   @Nested
   class ReturnToCold {
     @Test
@@ -161,6 +190,18 @@
       assertThat(reasons(result)).containsExactly(RefusalReason.DEADLINE);
     }
 
+    @Test
+    void shouldRefuseAtOnceWhenTheCallsAheadTakeUntilTheDeadline() {
+      warmUp(USUAL, 1);
+      fill();
+      admission.offer(call("first", RequestKind.INTERNAL_CHECK, 1000));
+      admission.offer(call("second", RequestKind.INTERNAL_CHECK, 1000));
+
+      Admission<String> result = admission.offer(call("late", RequestKind.INTERACTIVE_READ, 15));
+
+      assertThat(reasons(result)).containsExactly(RefusalReason.DEADLINE);
+    }
+
     @Test
     void shouldRefuseWaitingCallsWhenTheirDeadlinePasses() {
       fill();
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.parsleycart.decision.Outcome;
 import org.parsleycart.decision.admission.LoadReport;
+import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.admission.UpstreamCondition;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
 import org.parsleycart.decision.membership.MemberRecord;
@@ -124,6 +125,45 @@
           .doesNotContain(failing);
     }
 
+    @Test
+    void shouldSpillOverWhenNothingIsKnownYetOfTheNearUpstream() {
+      CandidatePool pool = pool(1, 1);
+      load(board, pool.far().get(0), 2);
+      board.of(pool.near().get(0)).started();
+      board.of(pool.near().get(0)).started();
+
+      assertThat(share(pool, "marka", 100)).isEqualTo(100);
+    }
+
+    @Test
+    void shouldSetAsideAnUpstreamThatAnswersOnlyFailures() {
+      CandidatePool pool = pool(4, 0);
+      Candidate failing = pool.near().get(0);
+      for (int answer = 0; answer < 5; answer++) {
+        board.of(failing).answered(true, NOW);
+      }
+
+      assertThat(board.of(failing).isSetAside(NOW)).isTrue();
+    }
+
+    @Test
+    void shouldNotSetAsideMostOfAPoolWhenAllFailAlike() {
+      CandidatePool pool = pool(4, 0);
+      for (Candidate candidate : pool.near().subList(0, 3)) {
+        for (int answer = 0; answer < 5; answer++) {
+          board.of(candidate).answered(true, NOW);
+        }
+      }
+
+      long chosen =
+          IntStream.range(0, 400)
+              .mapToObj(draw -> selection.choose(pool, Set.of(), NOW, random).orElseThrow())
+              .filter(candidate -> candidate.identifier().equals("u3"))
+              .count();
+
+      assertThat(chosen).isLessThan(200);
+    }
+
     @Test
     void shouldStillChooseWhenAllAreSetAside() {
       CandidatePool pool = pool(1, 0);
@@ -235,6 +275,28 @@
       assertThat(policy.tryAgain(contract, 1, Outcome.NOT_RUN, Duration.ofMillis(2))).isFalse();
     }
 
+    @ParameterizedTest
+    @CsvSource({
+      "ZONE_WITHDRAWN, true",
+      "DRAINING, true",
+      "UPSTREAM_GONE, true",
+      "QUEUE_FULL, false",
+      "DEADLINE, false"
+    })
+    void shouldNotChargeTheBudgetWhenTheUpstreamHasMovedAway(
+        RefusalReason reason, boolean unbounded) {
+      RetryPolicy policy = new RetryPolicy(new RetryBudget());
+      Contract contract = contract(RequestKind.NON_IDEMPOTENT_WRITE);
+
+      long retries =
+          IntStream.range(0, 1000)
+              .filter(
+                  call -> policy.tryAgainAfterRefusal(contract, 1, reason, Duration.ofMillis(500)))
+              .count();
+
+      assertThat(retries == 1000).isEqualTo(unbounded);
+    }
+
     @Test
     void shouldBoundRetriesToATenthOfCallsWhenEverythingFails() {
       RetryPolicy policy = new RetryPolicy(new RetryBudget());
