--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/BenchMain.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/BenchMain.java
@@ -12,6 +12,9 @@
     subcommands = {
       SpreadCommand.class,
       ZoneCommand.class,
+      RolloutCommand.class,
+      PathCommand.class,
+      FleetCommand.class
     })
 public final class BenchMain {
   private BenchMain() {}
--- /dev/null
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/PathCommand.java
@@ -0,0 +1,85 @@
+package org.parsleycart.bench;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.HdrHistogram.Histogram;
+import org.parsleycart.link.http.HttpClient;
+import org.parsleycart.standin.CallDriver;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Measures the latency that the path adds, against direct calls in the same run. */
+@Command(
+    name = "path",
+    description = "Latency of the path against direct calls, alternating in one run.",
+    mixinStandardHelpOptions = true)
+final class PathCommand implements Callable<Integer> {
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration WARM_UP = Duration.ofSeconds(6);
+
+  @Option(names = "--direct", required = true, description = "Address of the upstream.")
+  private String direct;
+
+  @Option(names = "--beside", required = true, description = "Entry beside the upstream.")
+  private String beside;
+
+  @Option(names = "--far", required = true, description = "Entry two hops away.")
+  private String far;
+
+  @Option(names = "--path", defaultValue = "/scheduler/due")
+  private String path;
+
+  @Option(names = "--rate", defaultValue = "380", description = "Calls a second.")
+  private double rate;
+
+  @Option(names = "--rounds", defaultValue = "5")
+  private int rounds;
+
+  @Option(names = "--seconds", defaultValue = "4", description = "Length of a round.")
+  private long seconds;
+
+  @Option(names = "--threads", defaultValue = "16")
+  private int threads;
+
+  @Option(names = "--out", defaultValue = "target/figures")
+  private Path out;
+
+  @Override
+  public Integer call() {
+    Table table =
+        Table.of(
+            "way", "round", "callsPerSecond", "medianMicroseconds", "p99Microseconds", "results");
+    for (String address : List.of(direct, beside, far)) {
+      drive(address, WARM_UP);
+    }
+    for (int round = 0; round < rounds; round++) {
+      measure(table, "direct", direct, round);
+      measure(table, "one process", beside, round);
+      measure(table, "two hops", far, round);
+    }
+    table.write(out, "path");
+    return 0;
+  }
+
+  private CallDriver drive(String address, Duration duration) {
+    try (HttpClient client = HttpClient.start(2)) {
+      CallDriver driver = new CallDriver(client, List.of(address), path, TIMEOUT);
+      driver.run(rate, duration, threads);
+      return driver;
+    }
+  }
+
+  private void measure(Table table, String way, String address, int round) {
+    CallDriver driver = drive(address, Duration.ofSeconds(seconds));
+    Histogram latencies = driver.latencies();
+    table.row(
+        way,
+        round,
+        latencies.getTotalCount() / (double) seconds,
+        latencies.getValueAtPercentile(50),
+        latencies.getValueAtPercentile(99),
+        driver.results().toString().replace(',', ' '));
+  }
+}
--- /dev/null
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/RolloutPolicy.java
@@ -0,0 +1,8 @@
+package org.parsleycart.bench;
+
+/** Who judges a rollout. */
+enum RolloutPolicy {
+  PRODUCT,
+  /** Fixed thresholds over a window, and equal steps. */
+  THRESHOLDS
+}
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RouteEvidence.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RouteEvidence.java
@@ -6,7 +6,7 @@
 /** The old and the new version beside each other on one route. */
 final class RouteEvidence {
   private static final double PRIOR_CALLS = 50;
-  private static final double PRIOR_CALLS_NOW = 10;
+  private static final double PRIOR_CALLS_NOW = 3;
   private static final double SMALLEST_FAILURE_RATE = 0.002;
   private static final double SMALLEST_FAILURE_RISE = 0.02;
   private static final double ACCEPTED_RISE_OF_ONE_ROUTE = 0.05;
