Run an idempotency key at most once beside an upstream

Weighed: a row in the platform's table for each key (several hundred writes a second do not carry the writes of 2 million calls); a home daemon by hash with a message before each call (one more hop, and its memory dies with it just the same); the daemon beside the upstream that the key hashes to (no hop, load spread by the hash). Chosen: the last. A repeat that the caller marks (Idempotency-Attempt above 1) is not run where nothing is remembered; keyed calls are not tried elsewhere.

--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/BenchMain.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/BenchMain.java
@@ -14,7 +14,9 @@
       ZoneCommand.class,
       RolloutCommand.class,
       PathCommand.class,
-      FleetCommand.class
+      FleetCommand.class,
+      DecisionsCommand.class,
+      PlotCommand.class
     })
 public final class BenchMain {
   private BenchMain() {}
--- /dev/null
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/DecisionBenchmarks.java
@@ -0,0 +1,175 @@
+package org.parsleycart.bench;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.parsleycart.decision.admission.Admission;
+import org.parsleycart.decision.admission.AdmissionControl;
+import org.parsleycart.decision.admission.AdmissionSettings;
+import org.parsleycart.decision.admission.WaitingCall;
+import org.parsleycart.decision.membership.AnnouncedUpstream;
+import org.parsleycart.decision.membership.MemberRecord;
+import org.parsleycart.decision.membership.MemberStatus;
+import org.parsleycart.decision.message.ControlMessage;
+import org.parsleycart.decision.message.Gossip;
+import org.parsleycart.decision.message.Head;
+import org.parsleycart.decision.routing.Candidate;
+import org.parsleycart.decision.routing.CandidatePool;
+import org.parsleycart.decision.routing.LoadBoard;
+import org.parsleycart.decision.routing.UpstreamDirectory;
+import org.parsleycart.decision.routing.UpstreamSelection;
+import org.parsleycart.link.Envelope;
+import org.parsleycart.link.PeerKeys;
+import org.parsleycart.model.Configuration;
+import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.Contract;
+import org.parsleycart.model.Digest;
+import org.parsleycart.model.RequestKind;
+import org.parsleycart.model.Resource;
+import org.parsleycart.model.Route;
+import org.parsleycart.model.Selector;
+import org.parsleycart.model.Service;
+
+/** The cost of single decisions, by the number of upstreams, members or services. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DecisionBenchmarks {
+  private static final int ROUTES_PER_SERVICE = 3;
+
+  /** Upstreams of one service, members of the fleet, or services. */
+  @Param({"12", "450", "5300"})
+  public int size;
+
+  private final Random random = new Random(1);
+  private final LoadBoard loads = new LoadBoard();
+  private final UpstreamSelection selection = new UpstreamSelection(loads);
+  private final InstantSource clock = InstantSource.system();
+  private final AdmissionControl<String> admission =
+      new AdmissionControl<>(new AdmissionSettings(2, 64), 20, clock);
+  private final Envelope envelope = new Envelope(PeerKeys.of(List.of("bench-key-0123456789")));
+  private List<MemberRecord> members;
+  private CandidatePool pool;
+  private Configuration configuration;
+  private ConfigurationChange change;
+  private byte[] probe;
+
+  /** Prepares the upstreams and the configuration. */
+  @Setup
+  public void prepare() {
+    members = IntStream.range(0, size).mapToObj(DecisionBenchmarks::member).toList();
+    pool = directory().pool("ledger", "v1");
+    configuration = Configuration.empty().apply(services(size)).get();
+    change =
+        new ConfigurationChange("next", "bench", List.of(service(0).withVersion("v2")), List.of());
+    probe = envelope.seal(probeMessage());
+  }
+
+  private static MemberRecord member(int index) {
+    String address = "10.0." + index / 256 + "." + index % 256 + ":7402";
+    AnnouncedUpstream upstream =
+        new AnnouncedUpstream("upstream-" + index, "ledger", "v1", 20, false);
+    return new MemberRecord(
+        address,
+        1,
+        0,
+        MemberStatus.ALIVE,
+        "zone-" + index % 8,
+        address,
+        Map.of(),
+        List.of(upstream));
+  }
+
+  private static Service service(int index) {
+    return new Service("service-" + index, "v1", Duration.ofSeconds(10), Map.of());
+  }
+
+  private static ConfigurationChange services(int count) {
+    Duration second = Duration.ofSeconds(1);
+    Contract contract = new Contract("read", RequestKind.INTERACTIVE_READ, second, second, 3);
+    Stream<Resource> services = IntStream.range(0, count).mapToObj(DecisionBenchmarks::service);
+    Stream<Resource> routes =
+        IntStream.range(0, count * ROUTES_PER_SERVICE)
+            .mapToObj(
+                index ->
+                    new Route(
+                        "route-" + index,
+                        "/service-" + index / ROUTES_PER_SERVICE + "/" + index,
+                        "service-" + index / ROUTES_PER_SERVICE,
+                        "read",
+                        Selector.all()));
+    List<Resource> all =
+        Stream.of(Stream.<Resource>of(contract), services, routes).flatMap(each -> each).toList();
+    return new ConfigurationChange("first", "bench", all, List.of());
+  }
+
+  private UpstreamDirectory directory() {
+    return UpstreamDirectory.of(members.stream(), "zone-0", zone -> false);
+  }
+
+  private ControlMessage probeMessage() {
+    Gossip gossip =
+        new Gossip(
+            "10.0.0.1:7402",
+            new Head(1, "0123456789abcdef"),
+            List.of(members.get(0)),
+            List.of(members.get(1).toStatusUpdate()),
+            List.of());
+    return new ControlMessage.Probe(gossip, 1, "10.0.0.1:7402");
+  }
+
+  /** Chooses the upstream of a call. */
+  @Benchmark
+  public Candidate chooseUpstream() {
+    return selection.choose(pool, Set.of(), Instant.MIN, random).orElseThrow();
+  }
+
+  /** Admits a call beside an upstream and takes its answer. */
+  @Benchmark
+  public Admission<String> admitAndAnswer() {
+    WaitingCall<String> call =
+        new WaitingCall<>(
+            "call", RequestKind.INTERACTIVE_READ, "read", clock.instant().plusSeconds(1));
+    admission.offer(call);
+    return admission.answered("read", Duration.ofMillis(2));
+  }
+
+  /** Finds the route of a call. */
+  @Benchmark
+  public Route findRoute() {
+    return configuration.routeFor("/service-0/0/item", Map.of()).orElseThrow();
+  }
+
+  /** Rebuilds the directory after a change of membership. */
+  @Benchmark
+  public UpstreamDirectory buildDirectory() {
+    return directory();
+  }
+
+  /** Applies a change to the whole configuration and digests the result. */
+  @Benchmark
+  public Digest applyChange() {
+    return configuration.apply(change).get().digest();
+  }
+
+  /** Opens a probe, merges nothing, and seals the answer. */
+  @Benchmark
+  public byte[] openAndSealDatagram() {
+    return envelope.seal(envelope.open(probe).get());
+  }
+}
--- /dev/null
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/DecisionsCommand.java
@@ -0,0 +1,52 @@
+package org.parsleycart.bench;
+
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.concurrent.Callable;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+import org.openjdk.jmh.runner.options.VerboseMode;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Measures the cost of single decisions. */
+@Command(
+    name = "decisions",
+    description = "The cost of single decisions.",
+    mixinStandardHelpOptions = true)
+final class DecisionsCommand implements Callable<Integer> {
+  private static final int ITERATIONS = 3;
+
+  @Option(names = "--out", defaultValue = "target/figures")
+  private Path out;
+
+  @Override
+  public Integer call() throws RunnerException {
+    Options options =
+        new OptionsBuilder()
+            .include(DecisionBenchmarks.class.getName())
+            .forks(0)
+            .warmupIterations(ITERATIONS)
+            .warmupTime(TimeValue.milliseconds(400))
+            .measurementIterations(ITERATIONS)
+            .measurementTime(TimeValue.milliseconds(600))
+            .verbosity(VerboseMode.SILENT)
+            .build();
+    Collection<RunResult> results = new Runner(options).run();
+    Table table = Table.of("decision", "size", "microseconds", "error");
+    for (RunResult result : results) {
+      String name = result.getParams().getBenchmark();
+      table.row(
+          name.substring(name.lastIndexOf('.') + 1),
+          result.getParams().getParam("size"),
+          result.getPrimaryResult().getScore(),
+          result.getPrimaryResult().getScoreError());
+    }
+    table.write(out, "decisions");
+    return 0;
+  }
+}
--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/PathCommand.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/PathCommand.java
@@ -17,7 +17,8 @@
     mixinStandardHelpOptions = true)
 final class PathCommand implements Callable<Integer> {
   private static final Duration TIMEOUT = Duration.ofSeconds(5);
-  private static final Duration WARM_UP = Duration.ofSeconds(6);
+  private static final Duration WARM_UP = Duration.ofSeconds(10);
+  private static final double WARM_UP_RATE = 2500;
 
   @Option(names = "--direct", required = true, description = "Address of the upstream.")
   private String direct;
@@ -52,7 +53,7 @@
         Table.of(
             "way", "round", "callsPerSecond", "medianMicroseconds", "p99Microseconds", "results");
     for (String address : List.of(direct, beside, far)) {
-      drive(address, WARM_UP);
+      drive(address, WARM_UP_RATE, WARM_UP);
     }
     for (int round = 0; round < rounds; round++) {
       measure(table, "direct", direct, round);
@@ -63,16 +64,16 @@
     return 0;
   }
 
-  private CallDriver drive(String address, Duration duration) {
+  private CallDriver drive(String address, double callsPerSecond, Duration duration) {
     try (HttpClient client = HttpClient.start(2)) {
       CallDriver driver = new CallDriver(client, List.of(address), path, TIMEOUT);
-      driver.run(rate, duration, threads);
+      driver.run(callsPerSecond, duration, threads);
       return driver;
     }
   }
 
   private void measure(Table table, String way, String address, int round) {
-    CallDriver driver = drive(address, Duration.ofSeconds(seconds));
+    CallDriver driver = drive(address, rate, Duration.ofSeconds(seconds));
     Histogram latencies = driver.latencies();
     table.row(
         way,
--- /dev/null
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/PlotCommand.java
@@ -0,0 +1,64 @@
+package org.parsleycart.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Draws the slopes of the spreading figures. */
+@Command(
+    name = "plot",
+    description = "Draws the slopes from the files of figures.",
+    mixinStandardHelpOptions = true)
+final class PlotCommand implements Callable<Integer> {
+  private static final int WIDTH = 800;
+  private static final int HEIGHT = 450;
+
+  @Option(names = "--out", defaultValue = "target/figures")
+  private Path out;
+
+  @Override
+  public Integer call() throws IOException {
+    draw(
+        "spread-seconds",
+        "Seconds until a version is in force everywhere",
+        List.of("convergenceSeconds", "herdConvergenceSeconds"));
+    draw(
+        "spread-bytes",
+        "Control bytes a second for each daemon",
+        List.of("quietBytesPerSecond", "loadedBytesPerSecond", "herdBytesPerSecond"));
+    return 0;
+  }
+
+  private void draw(String name, String title, List<String> columns) throws IOException {
+    List<String> lines = Files.readAllLines(out.resolve("spread.csv"));
+    List<String> header = List.of(lines.get(0).split(",", -1));
+    XYChart chart =
+        new XYChartBuilder()
+            .width(WIDTH)
+            .height(HEIGHT)
+            .title(title)
+            .xAxisTitle("daemons")
+            .yAxisTitle(title)
+            .build();
+    chart.getStyler().setXAxisLogarithmic(true);
+    for (String column : columns) {
+      List<Double> sizes = new ArrayList<>();
+      List<Double> values = new ArrayList<>();
+      for (String line : lines.subList(1, lines.size())) {
+        List<String> cells = List.of(line.split(",", -1));
+        sizes.add(Double.valueOf(cells.get(0)));
+        values.add(Double.valueOf(cells.get(header.indexOf(column))));
+      }
+      chart.addSeries(column, sizes, values);
+    }
+    BitmapEncoder.saveBitmap(chart, out.resolve(name).toString(), BitmapEncoder.BitmapFormat.PNG);
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
 import org.parsleycart.daemon.call.AdmissionHandler;
 import org.parsleycart.daemon.call.AdmissionService;
@@ -11,6 +12,7 @@
 import org.parsleycart.daemon.call.EntryHandler;
 import org.parsleycart.daemon.call.EntryParts;
 import org.parsleycart.daemon.call.Forwarder;
+import org.parsleycart.daemon.call.KeyedCalls;
 import org.parsleycart.daemon.call.LocalUpstreams;
 import org.parsleycart.daemon.control.JudgingDuty;
 import org.parsleycart.daemon.control.LocalEvidence;
@@ -26,6 +28,7 @@
 import org.parsleycart.daemon.report.DaemonMetrics;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.decision.admission.AdmissionSettings;
+import org.parsleycart.decision.admission.IdempotencyMemory;
 import org.parsleycart.decision.routing.LoadBoard;
 import org.parsleycart.decision.routing.RetryBudget;
 import org.parsleycart.decision.routing.RetryPolicy;
@@ -61,6 +64,8 @@
     HttpHandler entryHandler,
     HttpHandler admissionHandler,
     HttpHandler operatorHandler) {
+  private static final Duration KEYS_KEPT = Duration.ofMinutes(10);
+  private static final int MOST_KEYS = 20_000;
 
   // -- construction
 
@@ -92,7 +97,13 @@
     CallSignature signature = new CallSignature(keys);
     AdmissionService admission =
         new AdmissionService(
-            state, upstreams, forwarder, reports.metrics(), reports.evidence(), clock);
+            state,
+            upstreams,
+            new KeyedCalls(new IdempotencyMemory(clock, KEYS_KEPT, MOST_KEYS)),
+            forwarder,
+            reports.metrics(),
+            reports.evidence(),
+            clock);
     EntryParts entryParts =
         entryParts(settings, state, loads, admission, forwarder, signature, reports, clock);
     CallsInProgress callsInProgress = new CallsInProgress();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -28,6 +28,7 @@
 
   private final MeshState state;
   private final LocalUpstreams upstreams;
+  private final KeyedCalls keyedCalls;
   private final Forwarder forwarder;
   private final CallMetrics metrics;
   private final CallEvidence evidence;
@@ -39,12 +40,14 @@
   public AdmissionService(
       MeshState state,
       LocalUpstreams upstreams,
+      KeyedCalls keyedCalls,
       Forwarder forwarder,
       CallMetrics metrics,
       CallEvidence evidence,
       InstantSource clock) {
     this.state = requireNonNull(state, "state is null");
     this.upstreams = requireNonNull(upstreams, "upstreams is null");
+    this.keyedCalls = requireNonNull(keyedCalls, "keyedCalls is null");
     this.forwarder = requireNonNull(forwarder, "forwarder is null");
     this.metrics = requireNonNull(metrics, "metrics is null");
     this.evidence = requireNonNull(evidence, "evidence is null");
@@ -63,9 +66,13 @@
       call.listener().refused(refusal.get());
       return;
     }
+    keyedCalls.guard(call).ifPresent(guarded -> offer(upstream.get(), guarded));
+  }
+
+  private void offer(LocalUpstream upstream, LocalCall call) {
     WaitingCall<LocalCall> waiting =
         new WaitingCall<>(call, call.contract().requestKind(), call.route(), call.deadline());
-    carryOut(upstream.get(), upstream.get().admission().offer(waiting));
+    carryOut(upstream, upstream.admission().offer(waiting));
   }
 
   private Optional<RefusalReason> refusal(Optional<LocalUpstream> upstream) {
@@ -86,13 +93,7 @@
     LocalUpstreams.refuseAll(admission);
     admission
         .start()
-        .forEach(
-            waiting ->
-                waiting
-                    .call()
-                    .exchange()
-                    .getIoThread()
-                    .execute(() -> start(upstream, waiting.call())));
+        .forEach(waiting -> waiting.call().onOwnThread(() -> start(upstream, waiting.call())));
   }
 
   private void start(LocalUpstream upstream, LocalCall call) {
@@ -156,7 +157,7 @@
       return switch (end.fault()) {
         case NONE, LATE -> upstream.admission().answered(call.route(), latency);
         case UNREACHABLE, BROKEN -> upstream.admission().failed();
-        case UNUSABLE, CALLER_GONE -> upstream.admission().abandoned();
+        case UNUSABLE, CALLER_GONE, REPEATED -> upstream.admission().abandoned();
       };
     }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptEnd.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptEnd.java
@@ -27,7 +27,9 @@
     /** The answer was not one to this request, or could not be proved whole. */
     UNUSABLE,
     /** The caller went away. */
-    CALLER_GONE
+    CALLER_GONE,
+    /** The idempotency key was used before, or may have been. */
+    REPEATED
   }
 
   AttemptEnd {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -22,6 +22,7 @@
   static final HttpString LOAD = new HttpString(PREFIX + "load");
   static final HttpString ZONE = new HttpString(PREFIX + "zone");
   static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+  static final HttpString IDEMPOTENCY_ATTEMPT = new HttpString("Idempotency-Attempt");
   static final HttpString TRACE_PARENT = new HttpString("traceparent");
 
   private static final Set<HttpString> HOP_BY_HOP =
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -13,12 +13,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import org.parsleycart.daemon.call.AttemptEnd.Fault;
 import org.parsleycart.daemon.report.CallTracing;
 import org.parsleycart.decision.Outcome;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.membership.Rendezvous;
 import org.parsleycart.decision.routing.Candidate;
+import org.parsleycart.decision.routing.CandidatePool;
 import org.parsleycart.decision.routing.UpstreamDirectory;
 import org.parsleycart.decision.routing.UpstreamLoad;
 import org.parsleycart.decision.routing.VersionChoice;
@@ -43,6 +47,7 @@
   private final Instant arrivedAt;
   private final Instant deadline;
   private final CallTracing.CallSpan span;
+  private final Optional<String> key;
   private final Set<String> tried = new HashSet<>();
   private int attempts;
   private boolean mayHaveRun;
@@ -68,6 +73,7 @@
     this.arrivedAt = requireNonNull(arrivedAt, "arrivedAt is null");
     this.deadline = requireNonNull(deadline, "deadline is null");
     this.span = requireNonNull(span, "span is null");
+    this.key = keyOf(exchange, contract);
   }
 
   // -- progress
@@ -104,25 +110,39 @@
 
   private Optional<Candidate> choose() {
     Configuration configuration = parts.state().configuration();
-    UpstreamDirectory directory = parts.state().directory();
     Optional<Service> service = configuration.service(route.service());
     if (service.isEmpty()) {
       return Optional.empty();
     }
+    RandomGenerator versions =
+        key.<RandomGenerator>map(each -> new SplittableRandom(each.hashCode()))
+            .orElseGet(parts.random());
     VersionChoice choice =
-        VersionChoice.of(configuration, service.get(), parts.state().facts(), parts.random().get());
-    return choose(directory, choice.version())
-        .or(() -> choice.standIn().flatMap(version -> choose(directory, version)));
+        VersionChoice.of(configuration, service.get(), parts.state().facts(), versions);
+    UpstreamDirectory directory = parts.state().directory();
+    return choose(directory.pool(route.service(), choice.version()))
+        .or(
+            () ->
+                choice
+                    .standIn()
+                    .flatMap(version -> choose(directory.pool(route.service(), version))));
+  }
+
+  /** Chooses by load, or, for a request that must not run twice, always the same upstream. */
+  private Optional<Candidate> choose(CandidatePool pool) {
+    if (key.isPresent()) {
+      Optional<String> owner = Rendezvous.owner(pool.all().map(Candidate::identifier), key.get());
+      return attempts > 0
+          ? Optional.empty()
+          : pool.all().filter(each -> owner.equals(Optional.of(each.identifier()))).findFirst();
+    }
+    return parts.selection().choose(pool, tried, parts.clock().instant(), parts.random().get());
   }
 
-  private Optional<Candidate> choose(UpstreamDirectory directory, String version) {
-    return parts
-        .selection()
-        .choose(
-            directory.pool(route.service(), version),
-            tried,
-            parts.clock().instant(),
-            parts.random().get());
+  private static Optional<String> keyOf(HttpServerExchange exchange, Contract contract) {
+    return contract.requestKind().isIdempotent()
+        ? Optional.empty()
+        : Optional.ofNullable(exchange.getRequestHeaders().getFirst(CallHeaders.IDEMPOTENCY_KEY));
   }
 
   private void admitLocally(RequestBody body, Candidate candidate, UpstreamLoad load) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
@@ -9,6 +9,7 @@
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.model.Contract;
+import org.xnio.XnioIoThread;
 
 /**
  * A call that asks for admission to an upstream beside this daemon.
@@ -59,12 +60,60 @@
     void ended(AttemptEnd end);
   }
 
+  /** Passes everything on to another listener. */
+  static class ForwardingListener implements Listener {
+    private final Listener next;
+
+    ForwardingListener(Listener next) {
+      this.next = requireNonNull(next, "next is null");
+    }
+
+    @Override
+    public void refused(RefusalReason reason) {
+      next.refused(reason);
+    }
+
+    @Override
+    public void beforeDelivery(HttpServerExchange exchange, LoadReport load) {
+      next.beforeDelivery(exchange, load);
+    }
+
+    @Override
+    public void ended(AttemptEnd end) {
+      next.ended(end);
+    }
+  }
+
+  /** Returns this call with another listener. */
+  LocalCall withListener(Listener newListener) {
+    return new LocalCall(
+        exchange,
+        body,
+        requestIdentifier,
+        upstream,
+        route,
+        contract,
+        deadline,
+        traceParent,
+        newListener);
+  }
+
   /** Returns the outcome that an answer of an upstream tells: it always answers the call. */
   static Outcome judge(ClientResponse response) {
     requireNonNull(response, "response is null");
     return Outcome.ANSWERED;
   }
 
+  /** Runs a task on the thread of the exchange: at once when that is the thread running now. */
+  void onOwnThread(Runnable task) {
+    XnioIoThread own = exchange.getIoThread();
+    if (XnioIoThread.currentThread() == own) {
+      task.run();
+    } else {
+      own.execute(task);
+    }
+  }
+
   // -- Object
 
   @Override
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -119,9 +119,7 @@
         .forEach(
             refused -> {
               LocalCall call = refused.call().call();
-              call.exchange()
-                  .getIoThread()
-                  .execute(() -> call.listener().refused(refused.reason()));
+              call.onOwnThread(() -> call.listener().refused(refused.reason()));
             });
   }
 
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallPathTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallPathTest.java
@@ -127,6 +127,39 @@
     assertThat(upstream.requests()).isEqualTo(before + 1);
   }
 
+  @ParameterizedTest
+  @CsvSource({"0, 1, 1", "1, 0, 1", "1, 1, 2"})
+  void shouldRunAnIdempotencyKeyOnceWhicheverEntryItIsRepeatedAt(
+      int first, int second, String attempt) {
+    String key = "key-" + first + second;
+    upstream.answerWith("", true);
+    int before = upstream.requests();
+    HttpCall charge = HttpCall.of("POST", "/write").body("charge").header("Idempotency-Key", key);
+    assertThat(outcome(mesh.send(entry(first), charge))).isEqualTo("unknown");
+
+    answerWell();
+    HttpAnswer repeated = mesh.send(entry(second), charge.header("Idempotency-Attempt", attempt));
+
+    assertThat(outcome(repeated)).isEqualTo("unknown");
+    assertThat(upstream.requests()).isEqualTo(before + 1);
+  }
+
+  @Test
+  void shouldNotRunAKeySaidToBeRepeatedOfWhichNothingIsRemembered() {
+    int before = upstream.requests();
+
+    HttpAnswer answer =
+        mesh.send(
+            entry(1),
+            HttpCall.of("POST", "/write")
+                .body("charge")
+                .header("Idempotency-Key", "lost")
+                .header("Idempotency-Attempt", "2"));
+
+    assertThat(outcome(answer)).isEqualTo("unknown");
+    assertThat(upstream.requests()).isEqualTo(before);
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {0, 1})
   void shouldSayNotRunOnlyWhenNothingReachedTheUpstream(int member) {
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/IdempotencyMemory.java
@@ -0,0 +1,89 @@
+package org.parsleycart.decision.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Remembers the idempotency keys of requests that may have run, so that none runs a second time
+ * here. Safe for use by several threads.
+ */
+public final class IdempotencyMemory {
+  private final InstantSource clock;
+  private final Duration kept;
+  private final int capacity;
+  private final Map<String, Instant> claimedAt = new LinkedHashMap<>();
+
+  /** What is known of a key. */
+  public enum Claim {
+    /** The key is new here; the request may run. */
+    GRANTED,
+    /** The key was claimed before; the request may have run. */
+    REPEATED,
+    /** The caller says that it repeats the key, and nothing is remembered of it. */
+    FORGOTTEN,
+    /** No more keys can be remembered; the request must not run. */
+    FULL
+  }
+
+  // -- construction
+
+  /**
+   * Creates an empty memory.
+   *
+   * @param clock the time
+   * @param kept how long a key is remembered
+   * @param capacity the most keys remembered
+   */
+  public IdempotencyMemory(InstantSource clock, Duration kept, int capacity) {
+    this.clock = requireNonNull(clock, "clock is null");
+    this.kept = requireNonNull(kept, "kept is null");
+    this.capacity = capacity;
+  }
+
+  // -- events
+
+  /**
+   * Claims a key for a request that is about to run.
+   *
+   * @param key the key
+   * @param saidToRepeat whether the caller says that it sent the key before
+   */
+  public synchronized Claim claim(String key, boolean saidToRepeat) {
+    requireNonNull(key, "key is null");
+    Instant now = clock.instant();
+    forgetOld(now);
+    if (claimedAt.containsKey(key)) {
+      return Claim.REPEATED;
+    }
+    if (saidToRepeat) {
+      return Claim.FORGOTTEN;
+    }
+    if (claimedAt.size() >= capacity) {
+      return Claim.FULL;
+    }
+    claimedAt.put(key, now);
+    return Claim.GRANTED;
+  }
+
+  /** Gives a key back, as no byte of its request reached an upstream. */
+  public synchronized void release(String key) {
+    claimedAt.remove(requireNonNull(key, "key is null"));
+  }
+
+  private void forgetOld(Instant now) {
+    Iterator<Instant> oldestFirst = claimedAt.values().iterator();
+    boolean old = true;
+    while (old && oldestFirst.hasNext()) {
+      old = oldestFirst.next().plus(kept).isBefore(now);
+      if (old) {
+        oldestFirst.remove();
+      }
+    }
+  }
+}
