Answer a racing withdrawal by its result; bound surveys; fewer wake-ups

Cause: a new test showed that of two operators who withdraw the same zone at once one got a conflict, though the zone was as asked. Change: the result decides. Surveys of peers hold at most two answering threads. The duties tick half as often. Proofs added: isolation among real daemons, a stale entry, a draining upstream, racing withdrawals with a death.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlAnswers.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlAnswers.java
@@ -44,7 +44,7 @@
       return answer(membership);
     }
     if (request instanceof InForceRequest inForce) {
-      return survey.answer(inForce);
+      return survey.answerPeer(inForce);
     }
     if (request instanceof EvidenceRequest evidenceRequest) {
       return localEvidence.of(evidenceRequest.service());
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/InForceSurvey.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/InForceSurvey.java
@@ -9,12 +9,14 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.parsleycart.daemon.MeshState;
 import org.parsleycart.decision.message.ControlMessage;
+import org.parsleycart.decision.message.ControlMessage.Failure;
 import org.parsleycart.decision.message.ControlMessage.InForceAnswer;
 import org.parsleycart.decision.message.ControlMessage.InForceRequest;
 import org.parsleycart.link.FrameClient;
@@ -31,12 +33,14 @@
 public final class InForceSurvey {
   private static final int FANOUT = 8;
   private static final int MOST_NAMED = 20;
+  private static final int MOST_SURVEYS_OF_PEERS = 2;
   private static final int WAITING_QUESTIONS = 64;
   private static final Duration LONGEST_TIMEOUT = Duration.ofSeconds(30);
 
   private final MeshState state;
   private final FrameClient client;
   private final ThreadPoolExecutor asking;
+  private final Semaphore surveysOfPeers = new Semaphore(MOST_SURVEYS_OF_PEERS);
 
   // -- construction
 
@@ -57,6 +61,21 @@
 
   // -- operation
 
+  /**
+   * Answers another daemon, unless enough surveys wait for others already, so that pulls and
+   * evidence are still answered.
+   */
+  public ControlMessage answerPeer(InForceRequest request) {
+    if (!surveysOfPeers.tryAcquire()) {
+      return new Failure("too many surveys");
+    }
+    try {
+      return answer(request);
+    } finally {
+      surveysOfPeers.release();
+    }
+  }
+
   /** Answers for this daemon and for the members that the request gives to it. */
   public InForceAnswer answer(InForceRequest request) {
     requireNonNull(request, "request is null");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
@@ -24,7 +24,7 @@
  * confirms the configuration of a new daemon, and makes urgent facts durable.
  */
 public final class PlatformDuty {
-  private static final long STEP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final long STEP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final Duration SYNCHRONIZATION_INTERVAL = Duration.ofSeconds(20);
   private static final Duration START_INTERVAL = Duration.ofMillis(500);
   private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UpkeepDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UpkeepDuty.java
@@ -24,7 +24,7 @@
  * waited too long, the withdrawal and return of the zone, and the events for operators.
  */
 public final class UpkeepDuty {
-  private static final long STEP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long STEP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final MeshState state;
   private final LocalUpstreams upstreams;
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ConfigurationActions.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ConfigurationActions.java
@@ -149,6 +149,9 @@
       return withoutOwnWithdrawal(zone, author);
     }
     Either<AcceptanceError, Long> result = acceptance.accept(change.get(), Optional.empty());
+    if (state.facts().isWithdrawn(state.configuration(), zone) == withdraw) {
+      return accepted(state.configuration().version());
+    }
     boolean platformSilent =
         result.isLeft()
             && (result.getLeft() instanceof AcceptanceError.Unavailable
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
@@ -118,6 +118,31 @@
         .contains("{\"name\":\"abdali\",\"withdrawn\":true}");
   }
 
+  @Test
+  void shouldRefuseNewWorkWhenNothingIsHeardFromOutsideTheZone() {
+    mesh.platform().setFault(PlatformFault.DOWN);
+    mesh.member(1).daemon().kill();
+
+    mesh.await(() -> call(0).header("x-parsleycart-reason").orElse("").equals("isolated"));
+    assertThat(call(0).header("x-parsleycart-outcome")).contains("not-run");
+
+    mesh.platform().setFault(PlatformFault.NONE);
+    mesh.await(() -> call(0).status() == 200);
+  }
+
+  @Test
+  void shouldKeepOneWithdrawalWhenTwoOperatorsRaceAndADaemonDies() {
+    CompletableFuture<HttpAnswer> other =
+        CompletableFuture.supplyAsync(() -> operate(1, "POST /zones/abdali/withdraw"));
+    HttpAnswer own = operate(0, "POST /zones/abdali/withdraw");
+
+    assertThat(own.status()).isEqualTo(200);
+    assertThat(other.join().status()).isEqualTo(200);
+    mesh.member(1).daemon().kill();
+    mesh.awaitUpstreams(mesh.member(0), "ledger v1 abdali", 0);
+    assertThat(operate(0, "GET /configuration").text()).contains("\"zone-abdali\"");
+  }
+
   @Test
   void shouldGoOnServingWhenThePlatformIsDown() {
     mesh.platform().setFault(PlatformFault.DOWN);
--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/WithdrawnZoneTest.java
@@ -0,0 +1,78 @@
+package org.parsleycart.daemon.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.parsleycart.daemon.TestMesh;
+import org.parsleycart.link.PeerKeys;
+import org.parsleycart.link.http.HttpAnswer;
+import org.parsleycart.link.http.HttpCall;
+
+/** Calls of an entry that does not know yet that a zone was withdrawn or an upstream drains. */
+class WithdrawnZoneTest {
+  private static final String CONFIGURATION =
+      """
+      zones: [{name: abdali}]
+      contracts: [{name: read, kind: interactive-read, deadline: 2s}]
+      services: [{name: ledger, version: v1}]
+      routes: [{name: read, pathPrefix: /read, service: ledger, contract: read}]
+      """;
+  private TestMesh mesh;
+  private ScriptedUpstream upstream;
+
+  @BeforeEach
+  void start() throws IOException {
+    mesh = TestMesh.start("abdali");
+    mesh.apply(CONFIGURATION);
+    upstream = new ScriptedUpstream();
+    mesh.announce(mesh.member(0), "u0", "ledger", "v1", upstream.address());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    mesh.close();
+    upstream.close();
+  }
+
+  /** Sends a call as another daemon would. */
+  private HttpAnswer callAsEntry() {
+    CallSignature signature = new CallSignature(PeerKeys.of(List.of("test-key-0123456789")));
+    return mesh.send(
+        mesh.member(0).daemons(),
+        HttpCall.of("GET", "/read")
+            .header("X-Parsleycart-Upstream", "u0")
+            .header("X-Parsleycart-Route", "read")
+            .header("X-Parsleycart-Request-Identifier", "r1")
+            .header("X-Parsleycart-Deadline-Milliseconds", "1000")
+            .header("X-Parsleycart-Signature", signature.sign("r1", "u0", "read")));
+  }
+
+  private void operate(String path) {
+    HttpAnswer answer = mesh.send(mesh.member(0).operators(), HttpCall.of("POST", path));
+    assertThat(answer.status()).isEqualTo(200);
+  }
+
+  @Test
+  void shouldRefuseAsNotRunWhenTheZoneIsWithdrawn() {
+    assertThat(callAsEntry().status()).isEqualTo(200);
+    operate("/zones/abdali/withdraw?force=true");
+
+    HttpAnswer refused = callAsEntry();
+
+    assertThat(refused.header("x-parsleycart-outcome")).contains("not-run");
+    assertThat(refused.header("x-parsleycart-reason")).contains("zone-withdrawn");
+    assertThat(upstream.requests()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldRefuseAsNotRunWhenTheUpstreamDrains() {
+    operate("/upstreams/u0/drain");
+
+    assertThat(callAsEntry().header("x-parsleycart-reason")).contains("draining");
+    assertThat(upstream.requests()).isZero();
+  }
+}
--- a/parsleycart-link/src/main/java/org/parsleycart/link/FrameServer.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/FrameServer.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -24,7 +25,7 @@
  */
 public final class FrameServer implements AutoCloseable {
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
-  private static final int THREADS = 3;
+  private static final int THREADS = 4;
   private static final int WAITING_CONNECTIONS = 64;
   private static final int BACKLOG = 256;
 
@@ -101,7 +102,7 @@
   private void submit(Socket socket) {
     try {
       answering.execute(() -> answer(socket));
-    } catch (java.util.concurrent.RejectedExecutionException e) {
+    } catch (RejectedExecutionException e) {
       counters.rejected();
       closeQuietly(socket);
     }
