--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/BenchMain.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/BenchMain.java
@@ -16,6 +16,7 @@
       PathCommand.class,
       FleetCommand.class,
       DecisionsCommand.class,
+      MemoryCommand.class,
       PlotCommand.class
     })
 public final class BenchMain {
