Stop passing on old news: count only what a datagram carries

Cause: fleets of 24 and 60 processes sent 1135 and 2190 control bytes a second. A record that did not fit a datagram went back to the queue with its count at zero, so news went round for ever. Change: the composer asks for the records sent least and counts only those that it carries. GossipComposer and the parts of ZoneTrial moved to files of their own.

--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/ZoneTrial.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/ZoneTrial.java
@@ -2,16 +2,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.Set;
 import java.util.stream.Stream;
 import org.parsleycart.decision.Outcome;
 import org.parsleycart.decision.admission.Admission;
@@ -22,10 +18,6 @@
 import org.parsleycart.decision.membership.AnnouncedUpstream;
 import org.parsleycart.decision.routing.Candidate;
 import org.parsleycart.decision.routing.CandidatePool;
-import org.parsleycart.decision.routing.LoadBoard;
-import org.parsleycart.decision.routing.RetryBudget;
-import org.parsleycart.decision.routing.RetryPolicy;
-import org.parsleycart.decision.routing.UpstreamSelection;
 import org.parsleycart.model.Contract;
 import org.parsleycart.model.RequestKind;
 import org.parsleycart.standin.UpstreamModel;
@@ -57,8 +49,8 @@
   private final Random random;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::number));
-  private final List<Server> servers = new ArrayList<>();
-  private final List<Entry> entries = new ArrayList<>();
+  private final List<TrialServer> servers = new ArrayList<>();
+  private final List<TrialEntry> entries = new ArrayList<>();
   private final ServiceRecord record = new ServiceRecord();
   private final Contract contract =
       new Contract("read", RequestKind.INTERACTIVE_READ, DEADLINE, DEADLINE, MOST_ATTEMPTS);
@@ -67,37 +59,6 @@
 
   private record Event(Instant at, long number, Runnable action) {}
 
-  private static final class Server {
-    private Candidate candidate;
-    private UpstreamModel model;
-    private AdmissionControl<Call> admission;
-    private final Deque<Call> queue = new ArrayDeque<>();
-    private boolean down;
-    private boolean failing;
-    private boolean withdrawn;
-  }
-
-  private static final class Entry {
-    private final LoadBoard loads = new LoadBoard();
-    private final UpstreamSelection selection = new UpstreamSelection(loads);
-    private final RetryPolicy retries = new RetryPolicy(new RetryBudget());
-    private final Set<String> withdrawnZones = new HashSet<>();
-    private String zone;
-    private int turn;
-  }
-
-  private static final class Call {
-    private final Entry entry;
-    private final Instant arrivedAt;
-    private final Set<String> tried = new HashSet<>();
-    private int attempts;
-
-    private Call(Entry entry, Instant arrivedAt) {
-      this.entry = entry;
-      this.arrivedAt = arrivedAt;
-    }
-  }
-
   // -- construction
 
   ZoneTrial(ZonePolicy policy, ZoneMove move, double callsPerSecond, long seed) {
@@ -107,14 +68,14 @@
     this.random = new Random(seed);
     for (int zone = 0; zone < ZONES; zone++) {
       servers.add(server(zone));
-      Entry entry = new Entry();
+      TrialEntry entry = new TrialEntry();
       entry.zone = "zone-" + zone;
       entries.add(entry);
     }
   }
 
-  private Server server(int zone) {
-    Server server = new Server();
+  private TrialServer server(int zone) {
+    TrialServer server = new TrialServer();
     server.model = new UpstreamModel(SLOTS, SERVICE_TIME, WARM_UP, clock);
     AnnouncedUpstream announced =
         new AnnouncedUpstream("upstream-" + zone, "ledger", "v1", SLOTS, false);
@@ -162,10 +123,10 @@
     after(
         Duration.ofNanos((long) (gap * 1e9)),
         () -> {
-          Entry entry = entries.get(random.nextInt(entries.size()));
+          TrialEntry entry = entries.get(random.nextInt(entries.size()));
           entry.retries.called();
           record.called(Duration.between(start, clock.instant()));
-          attempt(new Call(entry, clock.instant()));
+          attempt(new TrialCall(entry, clock.instant()));
           scheduleArrival();
         });
   }
@@ -173,7 +134,7 @@
   // -- moves
 
   private void startMove() {
-    Server moved = servers.get(0);
+    TrialServer moved = servers.get(0);
     switch (move) {
       case WITHDRAWAL -> {
         entries.forEach(
@@ -196,7 +157,7 @@
   }
 
   private void endMove() {
-    Server moved = servers.get(0);
+    TrialServer moved = servers.get(0);
     moved.down = false;
     moved.failing = false;
     if (move != ZoneMove.SILENT_RESTART) {
@@ -212,16 +173,16 @@
     entries.forEach(entry -> entry.loads.retain(others(moved)));
   }
 
-  private Stream<Candidate> others(Server moved) {
+  private Stream<Candidate> others(TrialServer moved) {
     return servers.stream().filter(server -> server != moved).map(server -> server.candidate);
   }
 
   // -- calls
 
-  private void attempt(Call call) {
+  private void attempt(TrialCall call) {
     record.attempted();
     call.attempts++;
-    Optional<Server> server = choose(call);
+    Optional<TrialServer> server = choose(call);
     if (server.isEmpty()) {
       return;
     }
@@ -230,8 +191,8 @@
     after(HOP, () -> arrive(server.get(), call));
   }
 
-  private Optional<Server> choose(Call call) {
-    List<Server> usable =
+  private Optional<TrialServer> choose(TrialCall call) {
+    List<TrialServer> usable =
         servers.stream()
             .filter(server -> !call.entry.withdrawnZones.contains(server.candidate.zone()))
             .toList();
@@ -255,7 +216,7 @@
             chosen -> servers.stream().filter(each -> each.candidate.equals(chosen)).findFirst());
   }
 
-  private void arrive(Server server, Call call) {
+  private void arrive(TrialServer server, TrialCall call) {
     if (server.down) {
       back(server, call, Outcome.NOT_RUN, true);
       return;
@@ -266,7 +227,7 @@
     }
     switch (policy) {
       case PRODUCT -> {
-        WaitingCall<Call> waiting =
+        WaitingCall<TrialCall> waiting =
             new WaitingCall<>(
                 call, RequestKind.INTERACTIVE_READ, "read", call.arrivedAt.plus(DEADLINE));
         carryOut(server, server.admission.offer(waiting));
@@ -280,20 +241,20 @@
     }
   }
 
-  private void startQueued(Server server) {
+  private void startQueued(TrialServer server) {
     while (!server.queue.isEmpty() && server.model.running() < SLOTS) {
       start(server, server.queue.poll());
     }
   }
 
-  private void carryOut(Server server, Admission<Call> admission) {
+  private void carryOut(TrialServer server, Admission<TrialCall> admission) {
     admission.start().forEach(waiting -> start(server, waiting.call()));
     admission
         .refuse()
         .forEach(refused -> refuseCall(server, refused.call().call(), refused.reason()));
   }
 
-  private void refuse(Admission<Call> admission) {
+  private void refuse(Admission<TrialCall> admission) {
     carryOut(servers.get(0), admission);
   }
 
@@ -303,11 +264,11 @@
     }
   }
 
-  private void start(Server server, Call call) {
+  private void start(TrialServer server, TrialCall call) {
     if (server.withdrawn) {
       workInWithdrawnZone++;
     }
-    AdmissionControl<Call> admission = server.admission;
+    AdmissionControl<TrialCall> admission = server.admission;
     UpstreamModel.Treatment treatment = server.model.start();
     Instant startedAt = clock.instant();
     after(
@@ -320,9 +281,9 @@
   }
 
   private void finish(
-      Server server,
-      AdmissionControl<Call> admission,
-      Call call,
+      TrialServer server,
+      AdmissionControl<TrialCall> admission,
+      TrialCall call,
       Instant startedAt,
       boolean failed) {
     if (policy == ZonePolicy.PRODUCT) {
@@ -340,12 +301,12 @@
     }
   }
 
-  private void failAnswer(Server server, Call call) {
+  private void failAnswer(TrialServer server, TrialCall call) {
     call.entry.loads.of(server.candidate).ended();
     call.entry.loads.of(server.candidate).answered(true, clock.instant());
   }
 
-  private void answer(Server server, Call call) {
+  private void answer(TrialServer server, TrialCall call) {
     call.entry.loads.of(server.candidate).ended();
     call.entry.loads.of(server.candidate).answered(false, clock.instant());
     call.entry.loads.of(server.candidate).reported(server.admission.load());
@@ -354,7 +315,7 @@
     }
   }
 
-  private void back(Server server, Call call, Outcome outcome, boolean daemonFailed) {
+  private void back(TrialServer server, TrialCall call, Outcome outcome, boolean daemonFailed) {
     after(
         HOP,
         () -> {
@@ -366,7 +327,7 @@
         });
   }
 
-  private void refuseCall(Server server, Call call, RefusalReason reason) {
+  private void refuseCall(TrialServer server, TrialCall call, RefusalReason reason) {
     after(
         HOP,
         () -> {
@@ -383,11 +344,11 @@
         });
   }
 
-  private Duration remaining(Call call) {
+  private Duration remaining(TrialCall call) {
     return Duration.between(clock.instant(), call.arrivedAt.plus(DEADLINE));
   }
 
-  private void retry(Call call, Outcome outcome) {
+  private void retry(TrialCall call, Outcome outcome) {
     Duration remaining = remaining(call);
     boolean again =
         policy == ZonePolicy.PRODUCT
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DisseminationQueue.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DisseminationQueue.java
@@ -1,7 +1,6 @@
 package org.parsleycart.decision.membership;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,34 +23,27 @@
     transmissions.put(identifier, 0);
   }
 
-  /** Takes up to the given number of identifiers for one message to a fleet of the given size. */
-  List<String> take(int count, int fleetSize) {
-    if (transmissions.isEmpty()) {
-      return List.of();
-    }
+  /** Counts a transmission to a fleet of the given size; the last one takes the record out. */
+  void sent(String identifier, int fleetSize) {
     int limit = transmissionLimit(fleetSize);
-    List<String> taken = leastSent(count);
-    taken.forEach(
-        identifier ->
-            transmissions.compute(
-                identifier,
-                (key, sent) -> Optional.of(sent + 1).filter(next -> next < limit).orElse(null)));
-    return taken;
+    transmissions.computeIfPresent(
+        identifier, (key, sent) -> Optional.of(sent + 1).filter(next -> next < limit).orElse(null));
   }
 
-  private List<String> leastSent(int count) {
-    if (transmissions.size() <= count) {
+  // -- queries
+
+  /** Returns up to the given number of identifiers, those sent least first. */
+  List<String> leastSent(int count) {
+    if (transmissions.size() <= 1) {
       return new ArrayList<>(transmissions.keySet());
     }
     return transmissions.entrySet().stream()
-        .sorted(Comparator.comparingInt(Map.Entry::getValue))
+        .sorted(Map.Entry.comparingByValue())
         .limit(count)
         .map(Map.Entry::getKey)
         .toList();
   }
 
-  // -- queries
-
   int size() {
     return transmissions.size();
   }
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
@@ -0,0 +1,81 @@
+package org.parsleycart.decision.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import org.parsleycart.decision.message.Gossip;
+import org.parsleycart.decision.message.Head;
+import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.spreading.UrgentFacts;
+import org.parsleycart.model.ResourceReference;
+
+/** Composes what rides on each datagram, within its bounds, from the news that waits. */
+final class GossipComposer {
+  private static final int CONSIDERED_RECORDS = 64;
+
+  private final MembershipTable table;
+  private final GossipSettings settings;
+  private final Supplier<Head> head;
+  private final UrgentFacts urgentFacts;
+  private final DisseminationQueue members = new DisseminationQueue();
+  private final UrgentQueue urgentSubjects = new UrgentQueue();
+
+  // -- construction
+
+  GossipComposer(
+      MembershipTable table,
+      GossipSettings settings,
+      Supplier<Head> head,
+      UrgentFacts urgentFacts) {
+    this.table = table;
+    this.settings = settings;
+    this.head = head;
+    this.urgentFacts = urgentFacts;
+  }
+
+  // -- news
+
+  /** Lets the record of a member ride on the next datagrams. */
+  void passOn(String member) {
+    members.add(member);
+  }
+
+  /** Lets the urgent fact about a subject ride on the next datagrams. */
+  void passOn(ResourceReference subject) {
+    urgentSubjects.add(subject);
+  }
+
+  /** Returns how many records wait. */
+  int backlog() {
+    return members.size();
+  }
+
+  // -- composing
+
+  /** Returns the gossip of one datagram. */
+  Gossip compose() {
+    int fleet = table.size();
+    List<MemberRecord> records = new ArrayList<>();
+    List<StatusUpdate> statuses = new ArrayList<>();
+    members.leastSent(CONSIDERED_RECORDS).stream()
+        .flatMap(member -> table.find(member).stream())
+        .filter(record -> fits(records, statuses, record))
+        .forEach(record -> members.sent(record.identifier(), fleet));
+    List<UrgentFact> urgent =
+        urgentSubjects.take(fleet).stream()
+            .flatMap(subject -> urgentFacts.find(subject).stream())
+            .toList();
+    return new Gossip(table.self().identifier(), head.get(), records, statuses, urgent);
+  }
+
+  /** Adds a record, whole when its content matters, unless the datagram is full of its like. */
+  private boolean fits(
+      List<MemberRecord> records, List<StatusUpdate> statuses, MemberRecord record) {
+    boolean contentMatters =
+        record.status() == MemberStatus.ALIVE || record.status() == MemberStatus.LEFT;
+    if (contentMatters) {
+      return records.size() < settings.recordsPerMessage() && records.add(record);
+    }
+    return statuses.size() < settings.statusesPerMessage() && statuses.add(record.toStatusUpdate());
+  }
+}
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
@@ -43,8 +43,7 @@
   private final Supplier<Head> head;
   private final UrgentFacts urgentFacts;
   private final PullPlanner pulls;
-  private final DisseminationQueue queue = new DisseminationQueue();
-  private final UrgentQueue urgentQueue = new UrgentQueue();
+  private final GossipComposer composer;
   private final OutstandingProbes probes = new OutstandingProbes();
   private final Suspicions suspicions = new Suspicions();
   private int healthPenalty;
@@ -81,11 +80,12 @@
     this.head = requireNonNull(head, "head is null");
     this.urgentFacts = requireNonNull(urgentFacts, "urgentFacts is null");
     this.pulls = requireNonNull(pulls, "pulls is null");
+    this.composer = new GossipComposer(table, settings, head, urgentFacts);
     Instant now = clock.instant();
     this.nextProbe = now.plus(jittered(settings.probeInterval()));
     this.lastTick = now;
     this.lastHeardOutsideZone = now;
-    queue.add(table.self().identifier());
+    composer.passOn(table.self().identifier());
   }
 
   // -- time
@@ -259,17 +259,17 @@
     table
         .find(source)
         .filter(record -> record.status() != MemberStatus.ALIVE)
-        .ifPresent(record -> queue.add(source));
+        .ifPresent(record -> composer.passOn(source));
   }
 
   /** Merges urgent facts and passes on those that are new. */
   public void takeUrgent(List<UrgentFact> facts) {
-    urgentFacts.merge(facts).forEach(fact -> urgentQueue.add(fact.subject()));
+    urgentFacts.merge(facts).forEach(fact -> composer.passOn(fact.subject()));
   }
 
   /** Passes on a fact that this daemon decided. */
   public List<Outgoing> announceUrgent(UrgentFact fact) {
-    urgentQueue.add(fact.subject());
+    composer.passOn(fact.subject());
     return announce();
   }
 
@@ -286,7 +286,7 @@
 
   private void mergeRecord(MemberRecord record, Instant now) {
     if (isNews(record, now)) {
-      queue.add(record.identifier());
+      composer.passOn(record.identifier());
     }
   }
 
@@ -320,7 +320,7 @@
             self.labels(),
             self.upstreams());
     table.merge(above.next(self.status(), self.upstreams()), now);
-    queue.add(self.identifier());
+    composer.passOn(self.identifier());
     penalize(1);
   }
 
@@ -336,7 +336,7 @@
   /** Announces the upstreams beside this daemon and its own status. */
   public List<Outgoing> announceSelf(MemberStatus status, List<AnnouncedUpstream> upstreams) {
     table.merge(table.self().next(status, upstreams), clock.instant());
-    queue.add(table.self().identifier());
+    composer.passOn(table.self().identifier());
     return announce();
   }
 
@@ -347,27 +347,7 @@
   }
 
   private Gossip gossip() {
-    int fleet = table.size();
-    List<MemberRecord> records = new ArrayList<>();
-    List<StatusUpdate> statuses = new ArrayList<>();
-    queue.take(settings.recordsPerMessage() + settings.statusesPerMessage(), fleet).stream()
-        .flatMap(identifier -> table.find(identifier).stream())
-        .forEach(record -> addTo(records, statuses, record));
-    List<UrgentFact> urgent =
-        urgentQueue.take(fleet).stream().flatMap(s -> urgentFacts.find(s).stream()).toList();
-    return new Gossip(table.self().identifier(), head.get(), records, statuses, urgent);
-  }
-
-  private void addTo(List<MemberRecord> records, List<StatusUpdate> statuses, MemberRecord record) {
-    boolean contentMatters =
-        record.status() == MemberStatus.ALIVE || record.status() == MemberStatus.LEFT;
-    if (!contentMatters) {
-      statuses.add(record.toStatusUpdate());
-    } else if (records.size() < settings.recordsPerMessage()) {
-      records.add(record);
-    } else {
-      queue.add(record.identifier());
-    }
+    return composer.compose();
   }
 
   // -- queries
@@ -392,7 +372,7 @@
 
   /** Returns how many records wait to be passed on. */
   public int backlog() {
-    return queue.size();
+    return composer.backlog();
   }
 
   /** Returns the members that are alive, the daemon itself included. */
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/GossipProtocolTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/GossipProtocolTest.java
@@ -125,6 +125,17 @@
     assertThat(member.lastHeardOutsideZone()).isBefore(network.now().minus(Duration.ofSeconds(5)));
   }
 
+  @Test
+  void shouldStopPassingOnNewsOnceItIsOld() {
+    FakeNetwork larger = new FakeNetwork(30, 43);
+    larger.introduceAll();
+
+    larger.advance(Duration.ofSeconds(60));
+
+    assertThat(larger.members()).allMatch(member -> member.table().size() == 30);
+    assertThat(larger.members()).allMatch(member -> member.backlog() == 0);
+  }
+
   @Test
   void shouldNotPassOnWhatCameInBulk() {
     GossipProtocol member = network.members().get(0);
