--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/RolloutTrial.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/RolloutTrial.java
@@ -130,19 +130,7 @@
     } else {
       decision = thresholds.decide(rollout, reading, now);
     }
-    carryOut(decision);
-  }
-
-  private void carryOut(RolloutDecision decision) {
-    if (decision instanceof RolloutDecision.Step step) {
-      rollout = rollout.withShare(step.sharePerMille());
-    } else if (decision instanceof RolloutDecision.Soak) {
-      rollout = rollout.withPhase(RolloutPhase.SOAKING, "");
-    } else if (decision instanceof RolloutDecision.Complete) {
-      rollout = rollout.withPhase(RolloutPhase.DONE, "");
-    } else if (decision instanceof RolloutDecision.Condemn condemn) {
-      rollout = rollout.withPhase(RolloutPhase.TAKEN_BACK, condemn.reason());
-    }
+    rollout = decision.applyTo(rollout);
   }
 
   // -- results
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -17,7 +17,6 @@
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.model.Contract;
-import org.parsleycart.model.Route;
 import org.xnio.IoUtils;
 
 /** Takes calls from the entries of other daemons and asks for their admission. */
@@ -59,7 +58,7 @@
     String routeName = header(exchange, CallHeaders.ROUTE);
     String signed = header(exchange, CallHeaders.SIGNATURE);
     boolean trusted = signature.isSigned(identifier, upstream, routeName, signed);
-    Optional<Contract> contract = contractOf(routeName);
+    Optional<Contract> contract = state.configuration().contractOfRoute(routeName);
     if (!trusted || contract.isEmpty()) {
       RefusalReason reason = trusted ? RefusalReason.NO_ROUTE : RefusalReason.BAD_REQUEST;
       Refusals.toDaemon(exchange, identifier, Outcome.NOT_RUN, reason.toString());
@@ -90,14 +89,6 @@
             new Answer(exchange, identifier, span)));
   }
 
-  private Optional<Contract> contractOf(String routeName) {
-    return state.configuration().routes().stream()
-        .filter(route -> route.name().equals(routeName))
-        .map(Route::contract)
-        .findFirst()
-        .flatMap(name -> state.configuration().contract(name));
-  }
-
   private Instant deadline(HttpServerExchange exchange) {
     String text = header(exchange, CallHeaders.DEADLINE);
     long milliseconds = text.matches("[0-9]{1,9}") ? Long.parseLong(text) : 0;
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DurableFacts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DurableFacts.java
@@ -8,11 +8,11 @@
 import org.parsleycart.decision.membership.MemberRecord;
 import org.parsleycart.decision.membership.Rendezvous;
 import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.rollout.RolloutDecision;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.model.ResourceKind;
 import org.parsleycart.model.Rollout;
-import org.parsleycart.model.RolloutPhase;
 import org.parsleycart.platform.ConfigurationStore;
 
 /**
@@ -77,7 +77,7 @@
   }
 
   private static ConfigurationChange condemnation(Rollout rollout, UrgentFact fact) {
-    Rollout takenBack = rollout.withPhase(RolloutPhase.TAKEN_BACK, fact.reason());
+    Rollout takenBack = new RolloutDecision.Condemn(fact.reason()).applyTo(rollout);
     String identifier = "condemn-" + rollout.name() + "-" + rollout.startedAt();
     return new ConfigurationChange(identifier, AUTHOR, List.of(takenBack), List.of());
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/JudgingDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/JudgingDuty.java
@@ -25,7 +25,6 @@
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
 import org.parsleycart.model.Rollout;
-import org.parsleycart.model.Route;
 import org.parsleycart.model.Service;
 import org.tinylog.Logger;
 
@@ -142,11 +141,8 @@
   }
 
   private static Duration objective(Configuration configuration, String routeName) {
-    return configuration.routes().stream()
-        .filter(route -> route.name().equals(routeName))
-        .map(Route::contract)
-        .findFirst()
-        .flatMap(configuration::contract)
+    return configuration
+        .contractOfRoute(routeName)
         .map(Contract::latencyObjective)
         .orElse(DEFAULT_OBJECTIVE);
   }
@@ -182,11 +178,11 @@
       platform.announce(fact);
       Logger.info("rollout {} condemned: {}", rollout.name(), condemn.reason());
     } else if (decision instanceof RolloutDecision.Step step) {
-      changes.step(rollout, step.sharePerMille());
-    } else if (decision instanceof RolloutDecision.Soak) {
-      changes.soak(rollout);
-    } else if (decision instanceof RolloutDecision.Complete) {
-      changes.complete(rollout, service);
+      changes.step(rollout, step);
+    } else if (decision instanceof RolloutDecision.Soak soak) {
+      changes.soak(rollout, soak);
+    } else if (decision instanceof RolloutDecision.Complete complete) {
+      changes.complete(rollout, complete, service);
     } else if (decision instanceof RolloutDecision.Stay stay) {
       changes.tell(rollout, stay.reason(), clock.instant());
     }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/RolloutChanges.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/RolloutChanges.java
@@ -8,10 +8,10 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.parsleycart.daemon.state.MeshState;
+import org.parsleycart.decision.rollout.RolloutDecision;
 import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.model.Resource;
 import org.parsleycart.model.Rollout;
-import org.parsleycart.model.RolloutPhase;
 import org.parsleycart.model.Service;
 
 /**
@@ -43,21 +43,20 @@
 
   // -- changes
 
-  /** Gives the new version a larger share. */
-  public void step(Rollout rollout, int sharePerMille) {
-    write(rollout, "share-" + sharePerMille, List.of(rollout.withShare(sharePerMille)));
+  /** Carries out a step forward. */
+  public void step(Rollout rollout, RolloutDecision.Step decision) {
+    write(rollout, "share-" + decision.sharePerMille(), List.of(decision.applyTo(rollout)));
   }
 
   /** Gives the new version all traffic and keeps the old one ready. */
-  public void soak(Rollout rollout) {
-    Rollout soaking = rollout.withPhase(RolloutPhase.SOAKING, "full share reached");
-    write(rollout, "soak", List.of(soaking));
+  public void soak(Rollout rollout, RolloutDecision.Soak decision) {
+    write(rollout, "soak", List.of(decision.applyTo(rollout)));
   }
 
   /** Puts the new version in charge. */
-  public void complete(Rollout rollout, Service service) {
-    Rollout done = rollout.withPhase(RolloutPhase.DONE, "completed");
-    write(rollout, "done", List.of(done, service.withVersion(rollout.version())));
+  public void complete(Rollout rollout, RolloutDecision.Complete decision, Service service) {
+    Service moved = service.withVersion(rollout.version());
+    write(rollout, "done", List.of(decision.applyTo(rollout), moved));
   }
 
   /** Tells operators why a rollout stays, when that is news. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -7,24 +7,9 @@
 public enum RefusalReason {
   NO_ROUTE("no-route", 404),
   NO_UPSTREAM("no-upstream", 503),
-  UPSTREAM_GONE("upstream-gone", 503) {
-    @Override
-    public boolean meansElsewhere() {
-      return true;
-    }
-  },
-  DRAINING("draining", 503) {
-    @Override
-    public boolean meansElsewhere() {
-      return true;
-    }
-  },
-  ZONE_WITHDRAWN("zone-withdrawn", 503) {
-    @Override
-    public boolean meansElsewhere() {
-      return true;
-    }
-  },
+  UPSTREAM_GONE("upstream-gone", 503, true),
+  DRAINING("draining", 503, true),
+  ZONE_WITHDRAWN("zone-withdrawn", 503, true),
   ISOLATED("isolated", 503),
   QUEUE_FULL("queue-full", 503),
   DEADLINE("deadline", 504),
@@ -35,10 +20,16 @@
 
   private final String label;
   private final int statusCode;
+  private final boolean elsewhere;
 
   RefusalReason(String label, int statusCode) {
+    this(label, statusCode, false);
+  }
+
+  RefusalReason(String label, int statusCode, boolean elsewhere) {
     this.label = label;
     this.statusCode = statusCode;
+    this.elsewhere = elsewhere;
   }
 
   /** Returns the HTTP status code that tells a caller. */
@@ -51,7 +42,7 @@
    * belongs elsewhere.
    */
   public boolean meansElsewhere() {
-    return false;
+    return elsewhere;
   }
 
   /** Returns the reason with the given label; empty also for no label. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DisseminationQueue.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DisseminationQueue.java
@@ -7,24 +7,26 @@
 import java.util.Optional;
 
 /**
- * The identifiers of members whose records still have to be passed on, those sent least first.
+ * The identifiers of records that still have to be passed on, those sent least first.
  *
  * <p>Each record rides on a number of messages that grows with the logarithm of the fleet, which
  * reaches all members with high probability; digest exchange repairs the rest.
+ *
+ * @param <K> the type of the identifiers
  */
-final class DisseminationQueue {
+final class DisseminationQueue<K> {
   private static final int EXTRA_TRANSMISSIONS = 3;
 
-  private final Map<String, Integer> transmissions = new HashMap<>();
+  private final Map<K, Integer> transmissions = new HashMap<>();
 
   // -- updates
 
-  void add(String identifier) {
+  void add(K identifier) {
     transmissions.put(identifier, 0);
   }
 
   /** Counts a transmission to a fleet of the given size; the last one takes the record out. */
-  void sent(String identifier, int fleetSize) {
+  void sent(K identifier, int fleetSize) {
     int limit = transmissionLimit(fleetSize);
     transmissions.computeIfPresent(
         identifier, (key, sent) -> Optional.of(sent + 1).filter(next -> next < limit).orElse(null));
@@ -33,7 +35,7 @@
   // -- queries
 
   /** Returns up to the given number of identifiers, those sent least first. */
-  List<String> leastSent(int count) {
+  List<K> leastSent(int count) {
     if (transmissions.size() <= 1) {
       return new ArrayList<>(transmissions.keySet());
     }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
@@ -12,13 +12,14 @@
 /** Composes what rides on each datagram, within its bounds, from the news that waits. */
 final class GossipComposer {
   private static final int CONSIDERED_RECORDS = 64;
+  private static final int URGENT_FACTS_PER_MESSAGE = 4;
 
   private final MembershipTable table;
   private final GossipSettings settings;
   private final Supplier<Head> head;
   private final UrgentFacts urgentFacts;
-  private final DisseminationQueue members = new DisseminationQueue();
-  private final UrgentQueue urgentSubjects = new UrgentQueue();
+  private final DisseminationQueue<String> members = new DisseminationQueue<>();
+  private final DisseminationQueue<ResourceReference> urgentSubjects = new DisseminationQueue<>();
 
   // -- construction
 
@@ -61,10 +62,10 @@
         .flatMap(member -> table.find(member).stream())
         .filter(record -> fits(records, statuses, record))
         .forEach(record -> members.sent(record.identifier(), fleet));
+    List<ResourceReference> subjects = urgentSubjects.leastSent(URGENT_FACTS_PER_MESSAGE);
+    subjects.forEach(subject -> urgentSubjects.sent(subject, fleet));
     List<UrgentFact> urgent =
-        urgentSubjects.take(fleet).stream()
-            .flatMap(subject -> urgentFacts.find(subject).stream())
-            .toList();
+        subjects.stream().flatMap(subject -> urgentFacts.find(subject).stream()).toList();
     return new Gossip(table.self().identifier(), head.get(), records, statuses, urgent);
   }
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/CallCounts.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/CallCounts.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
-import java.util.function.LongBinaryOperator;
 import java.util.stream.IntStream;
 
 /**
@@ -35,18 +34,13 @@
 
   /** Returns the counts above an earlier reading, never negative. */
   public CallCounts since(CallCounts earlier) {
-    return combine(earlier, (now, before) -> Math.max(0, now - before));
-  }
-
-  private CallCounts combine(CallCounts other, LongBinaryOperator operator) {
     return new CallCounts(
         version,
         route,
-        operator.applyAsLong(answered, other.answered),
-        operator.applyAsLong(failed, other.failed),
+        Math.max(0, answered - earlier.answered),
+        Math.max(0, failed - earlier.failed),
         IntStream.range(0, latencies.size())
-            .mapToObj(
-                bucket -> operator.applyAsLong(latencies.get(bucket), other.latencies.get(bucket)))
+            .mapToObj(bucket -> Math.max(0, latencies.get(bucket) - earlier.latencies.get(bucket)))
             .toList());
   }
 }
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/rollout/RolloutJudgeTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/rollout/RolloutJudgeTest.java
@@ -70,7 +70,7 @@
               "daemon", List.of(new VersionLoad("v1", 10, 40), new VersionLoad("v2", 1, newLimit))),
           now);
       last = judge.decide(rollout, now);
-      carryOut(last);
+      rollout = last.applyTo(rollout);
     }
 
     private void record(String version, String route, boolean failed, Duration latency) {
@@ -99,18 +99,6 @@
       return reading;
     }
 
-    private void carryOut(RolloutDecision decision) {
-      if (decision instanceof RolloutDecision.Step next) {
-        rollout = rollout.withShare(next.sharePerMille());
-      } else if (decision instanceof RolloutDecision.Soak) {
-        rollout = rollout.withPhase(RolloutPhase.SOAKING, "");
-      } else if (decision instanceof RolloutDecision.Complete) {
-        rollout = rollout.withPhase(RolloutPhase.DONE, "");
-      } else if (decision instanceof RolloutDecision.Condemn condemn) {
-        rollout = rollout.withPhase(RolloutPhase.TAKEN_BACK, condemn.reason());
-      }
-    }
-
     void run(Duration duration) {
       Instant end = now.plus(duration);
       while (now.isBefore(end) && rollout.phase().isActive()) {
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -239,6 +239,12 @@
     return find(ResourceKind.CONTRACT, name, Contract.class);
   }
 
+  /** Returns the contract of the route with the given name. */
+  public Optional<Contract> contractOfRoute(String routeName) {
+    return find(ResourceKind.ROUTE, routeName, Route.class)
+        .flatMap(route -> contract(route.contract()));
+  }
+
   /** Returns the rollout with the given name. */
   public Optional<Rollout> rollout(String name) {
     return find(ResourceKind.ROLLOUT, name, Rollout.class);
