Name the module of tables, objects and acceptance for what it holds

parsleycart-platform becomes parsleycart-store, so that the name is free for the adapter that speaks to the users' platform. No behaviour changes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
@@ -30,9 +30,9 @@
 import org.parsleycart.link.LinkCounters;
 import org.parsleycart.link.PeerKeys;
 import org.parsleycart.link.http.HttpClient;
-import org.parsleycart.platform.ConfigurationStore;
-import org.parsleycart.platform.HttpPlatform;
-import org.parsleycart.platform.Platform;
+import org.parsleycart.store.ConfigurationStore;
+import org.parsleycart.store.HttpPlatform;
+import org.parsleycart.store.Platform;
 
 /**
  * The parts of a daemon that exchange control messages.
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DurableFacts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DurableFacts.java
@@ -13,7 +13,7 @@
 import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.model.ResourceKind;
 import org.parsleycart.model.Rollout;
-import org.parsleycart.platform.ConfigurationStore;
+import org.parsleycart.store.ConfigurationStore;
 
 /**
  * Writes urgent facts into the configuration once the platform answers.
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/FirstPeers.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/FirstPeers.java
@@ -9,8 +9,8 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.parsleycart.decision.membership.MemberRecord;
-import org.parsleycart.platform.Row;
-import org.parsleycart.platform.TransactionalTable;
+import org.parsleycart.store.Row;
+import org.parsleycart.store.TransactionalTable;
 
 /**
  * Finds the first peers of a daemon that knows none: from its settings, and from a fixed number of
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
@@ -14,8 +14,8 @@
 import org.parsleycart.decision.spreading.PollSchedule;
 import org.parsleycart.decision.spreading.StartConfirmation;
 import org.parsleycart.link.BoundedRing;
-import org.parsleycart.platform.ConfigurationStore;
-import org.parsleycart.platform.PlatformError;
+import org.parsleycart.store.ConfigurationStore;
+import org.parsleycart.store.PlatformError;
 import org.tinylog.Logger;
 
 /**
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/Acceptance.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/Acceptance.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 import org.parsleycart.daemon.control.GossipDuty;
 import org.parsleycart.model.ConfigurationChange;
-import org.parsleycart.platform.AcceptanceError;
-import org.parsleycart.platform.ConfigurationStore;
+import org.parsleycart.store.AcceptanceError;
+import org.parsleycart.store.ConfigurationStore;
 
 /** Accepts changes and announces them to other daemons at once. */
 public final class Acceptance {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ConfigurationActions.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ConfigurationActions.java
@@ -17,7 +17,7 @@
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.Problem;
 import org.parsleycart.model.document.YamlDocuments;
-import org.parsleycart.platform.AcceptanceError;
+import org.parsleycart.store.AcceptanceError;
 
 /** The actions on the configuration and on availability zones. */
 public final class ConfigurationActions {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorAnswer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorAnswer.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.JsonDocuments;
-import org.parsleycart.platform.AcceptanceError;
+import org.parsleycart.store.AcceptanceError;
 
 /**
  * The answer to an operator or an upstream.
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/RolloutActions.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/RolloutActions.java
@@ -17,7 +17,7 @@
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.Problem;
 import org.parsleycart.model.document.YamlDocuments;
-import org.parsleycart.platform.AcceptanceError;
+import org.parsleycart.store.AcceptanceError;
 
 /** The actions on rollouts. */
 public final class RolloutActions {
--- a/parsleycart-standin/src/main/java/org/parsleycart/standin/PlatformStandin.java
+++ b/parsleycart-standin/src/main/java/org/parsleycart/standin/PlatformStandin.java
@@ -26,8 +26,8 @@
 import org.parsleycart.model.document.JsonDocuments;
 import org.parsleycart.model.document.MappingReader;
 import org.parsleycart.model.document.YamlDocuments;
-import org.parsleycart.platform.Platform;
-import org.parsleycart.platform.Row;
+import org.parsleycart.store.Platform;
+import org.parsleycart.store.Row;
 import org.xnio.IoUtils;
 
 /** The platform's table and object store over HTTP, in memory, with faults on demand. */
--- a/parsleycart-standin/src/test/java/org/parsleycart/standin/PlatformContractTest.java
+++ b/parsleycart-standin/src/test/java/org/parsleycart/standin/PlatformContractTest.java
@@ -15,10 +15,10 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.parsleycart.link.http.HttpClient;
-import org.parsleycart.platform.HttpPlatform;
-import org.parsleycart.platform.Platform;
-import org.parsleycart.platform.PlatformError;
-import org.parsleycart.platform.Row;
+import org.parsleycart.store.HttpPlatform;
+import org.parsleycart.store.Platform;
+import org.parsleycart.store.PlatformError;
+import org.parsleycart.store.Row;
 
 /** One contract for all implementations of the platform. */
 class PlatformContractTest {
--- a/parsleycart-platform/src/main/java/org/parsleycart/platform/AcceptanceError.java
+++ b/parsleycart-store/src/main/java/org/parsleycart/store/AcceptanceError.java
@@ -1,4 +1,4 @@
-package org.parsleycart.platform;
+package org.parsleycart.store;
 
 import java.util.List;
 import org.parsleycart.model.Violation;
--- a/parsleycart-platform/src/main/java/org/parsleycart/platform/EmbeddedObjectStore.java
+++ b/parsleycart-store/src/main/java/org/parsleycart/store/EmbeddedObjectStore.java
@@ -1,4 +1,4 @@
-package org.parsleycart.platform;
+package org.parsleycart.store;
 
 import static java.util.Objects.requireNonNull;
 
--- a/parsleycart-platform/src/main/java/org/parsleycart/platform/PlatformError.java
+++ b/parsleycart-store/src/main/java/org/parsleycart/store/PlatformError.java
@@ -1,4 +1,4 @@
-package org.parsleycart.platform;
+package org.parsleycart.store;
 
 /** Why the platform gave no result. None of these says that something is absent. */
 public sealed interface PlatformError {
--- a/parsleycart-platform/src/test/java/org/parsleycart/platform/ConfigurationStoreTest.java
+++ b/parsleycart-store/src/test/java/org/parsleycart/store/ConfigurationStoreTest.java
@@ -1,4 +1,4 @@
-package org.parsleycart.platform;
+package org.parsleycart.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -16,7 +16,7 @@
 import org.parsleycart.decision.spreading.ConfigurationLog;
 import org.parsleycart.model.AvailabilityZone;
 import org.parsleycart.model.ConfigurationChange;
-import org.parsleycart.platform.FaultyTable.Fault;
+import org.parsleycart.store.FaultyTable.Fault;
 
 class ConfigurationStoreTest {
   private static final int STEPS_OF_ACCEPTANCE = 4;
--- a/parsleycart-platform/src/test/java/org/parsleycart/platform/FaultyTable.java
+++ b/parsleycart-store/src/test/java/org/parsleycart/store/FaultyTable.java
@@ -1,4 +1,4 @@
-package org.parsleycart.platform;
+package org.parsleycart.store;
 
 import io.vavr.control.Either;
 import java.util.List;
