--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/RolloutTrial.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/RolloutTrial.java
@@ -14,6 +14,7 @@
 import org.parsleycart.decision.rollout.LatencyBuckets;
 import org.parsleycart.decision.rollout.RolloutDecision;
 import org.parsleycart.decision.rollout.RolloutJudge;
+import org.parsleycart.decision.routing.VersionSelector;
 import org.parsleycart.model.Rollout;
 import org.parsleycart.model.RolloutPhase;
 import org.parsleycart.model.Selector;
@@ -59,7 +60,7 @@
             0,
             RolloutPhase.PROGRESSING,
             "");
-    this.judge = new RolloutJudge(rollout, "v1", route -> SLOW_OBJECTIVE);
+    this.judge = new RolloutJudge(rollout, VersionSelector.only("v1"), route -> SLOW_OBJECTIVE);
   }
 
   // -- run
--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/ZoneTrial.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/ZoneTrial.java
@@ -28,6 +28,7 @@
  */
 final class ZoneTrial {
   static final int ZONES = 4;
+  private static final String SERVICE = "ledger";
   private static final int SLOTS = 20;
   private static final Duration SERVICE_TIME = Duration.ofMillis(20);
   private static final Duration WARM_UP = Duration.ofSeconds(15);
@@ -78,7 +79,7 @@
     TrialServer server = new TrialServer();
     server.model = new UpstreamModel(SLOTS, SERVICE_TIME, WARM_UP, clock);
     AnnouncedUpstream announced =
-        new AnnouncedUpstream("upstream-" + zone, "ledger", "v1", SLOTS, false);
+        new AnnouncedUpstream("upstream-" + zone, SERVICE, "v1", SLOTS, false);
     String address = "10.0.0." + zone + ":7402";
     server.candidate = new Candidate(announced, address, "zone-" + zone, address);
     server.admission =
@@ -124,7 +125,7 @@
         Duration.ofNanos((long) (gap * 1e9)),
         () -> {
           TrialEntry entry = entries.get(random.nextInt(entries.size()));
-          entry.retries.called();
+          entry.retries.called(SERVICE);
           record.called(Duration.between(start, clock.instant()));
           attempt(new TrialCall(entry, clock.instant()));
           scheduleArrival();
@@ -335,8 +336,8 @@
           call.entry.loads.of(server.candidate).refused(reason, clock.instant());
           boolean again =
               policy == ZonePolicy.PRODUCT
-                  ? call.entry.retries.tryAgainAfterRefusal(
-                      contract, call.attempts, reason, remaining(call))
+                  ? call.entry.retries.sendElsewhere(
+                      SERVICE, call.attempts, reason, remaining(call))
                   : call.attempts < MOST_ATTEMPTS;
           if (again) {
             attempt(call);
@@ -352,7 +353,7 @@
     Duration remaining = remaining(call);
     boolean again =
         policy == ZonePolicy.PRODUCT
-            ? call.entry.retries.tryAgain(contract, call.attempts, outcome, remaining)
+            ? call.entry.retries.tryAgain(SERVICE, contract, call.attempts, outcome, remaining)
             : call.attempts < MOST_ATTEMPTS && !remaining.isNegative();
     if (again) {
       attempt(call);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
@@ -1,12 +1,12 @@
 package org.parsleycart.daemon;
 
 import java.io.IOException;
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Random;
 import org.parsleycart.daemon.control.ControlAnswers;
 import org.parsleycart.daemon.control.DurableFacts;
+import org.parsleycart.daemon.control.FeedDuty;
 import org.parsleycart.daemon.control.FirstPeers;
 import org.parsleycart.daemon.control.GossipDuty;
 import org.parsleycart.daemon.control.InForceSurvey;
@@ -29,10 +29,7 @@
 import org.parsleycart.link.FrameClient;
 import org.parsleycart.link.LinkCounters;
 import org.parsleycart.link.PeerKeys;
-import org.parsleycart.link.http.HttpClient;
-import org.parsleycart.store.ConfigurationStore;
-import org.parsleycart.store.HttpPlatform;
-import org.parsleycart.store.Platform;
+import org.parsleycart.store.ConfigurationAuthority;
 
 /**
  * The parts of a daemon that exchange control messages.
@@ -42,8 +39,10 @@
  * @param frames asks other daemons
  * @param gossip the probing duty
  * @param pulls the spreading duty
- * @param store the accepted configuration on the platform
+ * @param authority gives the accepted versions of the configuration
+ * @param platformClock the time that all daemons agree on
  * @param platformDuty the platform duty
+ * @param feed waits at the platform for new versions
  * @param survey finds out where a version is in force
  * @param answers answers other daemons
  */
@@ -53,8 +52,10 @@
     FrameClient frames,
     GossipDuty gossip,
     PullDuty pulls,
-    ConfigurationStore store,
+    ConfigurationAuthority authority,
+    InstantSource platformClock,
     PlatformDuty platformDuty,
+    FeedDuty feed,
     InForceSurvey survey,
     ControlAnswers answers) {
 
@@ -74,23 +75,32 @@
     PullDuty pulls = new PullDuty(frames, state.log(), clock);
     DatagramLink datagrams = DatagramLink.open(settings.addresses().control(), envelope, counters);
     GossipDuty gossip = gossipDuty(settings, state, loads, clock, pulls, datagrams);
-    Platform platform = platform(settings);
-    ConfigurationStore store = new ConfigurationStore(platform, state.log(), clock);
+    PlatformParts platform = PlatformParts.create(settings, state.log(), clock);
     PlatformDuty platformDuty =
         new PlatformDuty(
             state,
-            store,
+            platform.authority(),
             gossip,
             pulls,
-            new FirstPeers(platform.table(), settings.seeds(), new Random()),
-            new DurableFacts(state, store),
+            new FirstPeers(platform.services().table(), settings.seeds(), new Random()),
+            new DurableFacts(state, platform.authority()),
             new PollSchedule(clock.instant(), new Random()),
             clock,
             new Random());
     InForceSurvey survey = new InForceSurvey(state, frames);
     ControlAnswers answers = new ControlAnswers(state, gossip, survey, evidence);
     return new ControlParts(
-        envelope, counters, frames, gossip, pulls, store, platformDuty, survey, answers);
+        envelope,
+        counters,
+        frames,
+        gossip,
+        pulls,
+        platform.authority(),
+        platform.clock(),
+        platformDuty,
+        new FeedDuty(platform.authority(), platformDuty, new Random()),
+        survey,
+        answers);
   }
 
   private static GossipDuty gossipDuty(
@@ -101,7 +111,7 @@
       PullDuty pulls,
       DatagramLink datagrams) {
     Random random = new Random();
-    PullPlanner planner = new PullPlanner(settings.identifier(), random);
+    PullPlanner planner = new PullPlanner(settings.identifier(), random, state.log()::knownThrough);
     GossipProtocol protocol =
         new GossipProtocol(
             new MembershipTable(selfRecord(settings, clock), clock.instant()),
@@ -126,23 +136,17 @@
         List.of());
   }
 
-  private static Platform platform(DaemonSettings settings) {
-    Duration timeout = settings.platformTimeout();
-    return settings
-        .platform()
-        .map(address -> new HttpPlatform(HttpClient.start(1), address, timeout).toPlatform())
-        .orElseGet(Platform::embedded);
-  }
-
   // -- duties
 
   void start() {
     pulls.start(gossip, platformDuty::peerHead);
     gossip.start();
     platformDuty.start();
+    feed.start();
   }
 
   void stop() {
+    feed.stop();
     platformDuty.stop();
     gossip.stop();
     pulls.stop();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -12,8 +12,11 @@
 import org.parsleycart.daemon.call.EntryHandler;
 import org.parsleycart.daemon.call.EntryParts;
 import org.parsleycart.daemon.call.Forwarder;
+import org.parsleycart.daemon.call.Hop;
 import org.parsleycart.daemon.call.KeyedCalls;
 import org.parsleycart.daemon.call.LocalUpstreams;
+import org.parsleycart.daemon.call.Refusals;
+import org.parsleycart.daemon.call.UpstreamCallHandler;
 import org.parsleycart.daemon.control.JudgingDuty;
 import org.parsleycart.daemon.control.LocalEvidence;
 import org.parsleycart.daemon.control.RolloutChanges;
@@ -31,11 +34,13 @@
 import org.parsleycart.decision.admission.IdempotencyMemory;
 import org.parsleycart.decision.routing.LoadBoard;
 import org.parsleycart.decision.routing.RetryBudget;
+import org.parsleycart.decision.routing.RetryBudgets;
 import org.parsleycart.decision.routing.RetryPolicy;
 import org.parsleycart.decision.routing.UpstreamSelection;
 import org.parsleycart.decision.spreading.ConfigurationLog;
 import org.parsleycart.decision.spreading.UrgentFacts;
 import org.parsleycart.link.PeerKeys;
+import org.parsleycart.link.dialect.Dialect;
 
 /**
  * The parts of one daemon, each constructed with all that it needs.
@@ -78,11 +83,14 @@
             settings.zone(), settings.labels(), ConfigurationLog.empty(), new UrgentFacts());
     LoadBoard loads = new LoadBoard();
     AdmissionSettings admissionSettings =
-        new AdmissionSettings(settings.limits().coldLimit(), settings.limits().queueLength());
+        new AdmissionSettings(
+            settings.limits().coldLimit(),
+            settings.limits().queueLength(),
+            settings.limits().trustsSlots());
     LocalUpstreams upstreams = new LocalUpstreams(admissionSettings, clock);
     LocalEvidence evidence = new LocalEvidence(reports.evidence(), upstreams);
     ControlParts control = ControlParts.create(settings, keys, state, loads, evidence, clock);
-    Acceptance acceptance = new Acceptance(control.store(), control.gossip());
+    Acceptance acceptance = new Acceptance(control.authority(), control.gossip());
     JudgingDuty judging =
         new JudgingDuty(
             state,
@@ -91,21 +99,24 @@
             new RolloutChanges(state, acceptance::accept),
             evidence,
             control.frames(),
-            clock);
+            control.platformClock());
 
     Forwarder forwarder = new Forwarder(pools, clock);
     CallSignature signature = new CallSignature(keys);
+    Dialect dialect = settings.dialect().create();
     AdmissionService admission =
         new AdmissionService(
             state,
             upstreams,
             new KeyedCalls(new IdempotencyMemory(clock, KEYS_KEPT, MOST_KEYS)),
             forwarder,
+            dialect,
             reports.metrics(),
             reports.evidence(),
             clock);
     EntryParts entryParts =
-        entryParts(settings, state, loads, admission, forwarder, signature, reports, clock);
+        entryParts(
+            settings, dialect, state, loads, admission, forwarder, signature, reports, clock);
     CallsInProgress callsInProgress = new CallsInProgress();
     DaemonMetrics.register(
         reports.registry(),
@@ -124,12 +135,23 @@
         new UpkeepDuty(state, upstreams, control.gossip(), reports.events()),
         judging,
         callsInProgress.counting(new EntryHandler(entryParts)),
-        new AdmissionHandler(state, admission, signature, reports.tracing(), clock),
-        operatorHandler(state, reports, control, acceptance, upstreams, loads, clock));
+        new AdmissionHandler(
+            state,
+            admission,
+            signature,
+            reports.tracing(),
+            clock,
+            settings.limits().replayableBodyBytes()),
+        new UpstreamCallHandler(
+            dialect,
+            upstreams,
+            state,
+            operatorHandler(state, reports, control, acceptance, upstreams, loads, clock)));
   }
 
   private static EntryParts entryParts(
       DaemonSettings settings,
+      Dialect dialect,
       MeshState state,
       LoadBoard loads,
       AdmissionService admission,
@@ -142,10 +164,19 @@
         settings.identifier(),
         loads,
         new UpstreamSelection(loads),
-        new RetryPolicy(new RetryBudget()),
+        new RetryPolicy(
+            RetryBudgets.of(
+                () ->
+                    new RetryBudget(
+                        settings.limits().retriesPerCall(), settings.limits().savedRetries())),
+            RetryBudgets.forDetours()),
         admission,
         forwarder,
         signature,
+        dialect,
+        settings.upstreamService(),
+        new Refusals(dialect),
+        Hop.toDaemon(dialect),
         reports.metrics(),
         reports.tracing(),
         settings.limits(),
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/PlatformParts.java
@@ -0,0 +1,51 @@
+package org.parsleycart.daemon;
+
+import java.time.InstantSource;
+import java.util.Set;
+import org.parsleycart.daemon.settings.DaemonSettings;
+import org.parsleycart.daemon.settings.DialectName;
+import org.parsleycart.decision.spreading.ConfigurationLog;
+import org.parsleycart.link.http.HttpClient;
+import org.parsleycart.platform.OperatorConfiguration;
+import org.parsleycart.platform.PlatformStore;
+import org.parsleycart.platform.StoreClock;
+import org.parsleycart.store.ConfigurationAuthority;
+import org.parsleycart.store.ConfigurationStore;
+import org.parsleycart.store.HttpPlatform;
+import org.parsleycart.store.Platform;
+
+/**
+ * The parts of a daemon that speak to the platform.
+ *
+ * @param services the table and the objects
+ * @param authority gives the accepted versions of the configuration
+ * @param clock the time that all daemons agree on
+ */
+record PlatformParts(Platform services, ConfigurationAuthority authority, InstantSource clock) {
+
+  // -- construction
+
+  static PlatformParts create(DaemonSettings settings, ConfigurationLog log, InstantSource clock) {
+    if (settings.platform().isEmpty()) {
+      return withAcceptance(Platform.embedded(), log, clock);
+    }
+    HttpClient client = HttpClient.start(1);
+    String address = settings.platform().get();
+    if (settings.dialect() == DialectName.PARSLEYCART) {
+      Platform services =
+          new HttpPlatform(client, address, settings.platformTimeout()).toPlatform();
+      return withAcceptance(services, log, clock);
+    }
+    StoreClock storeClock = new StoreClock(clock);
+    PlatformStore store =
+        new PlatformStore(client, address, settings.platformTimeout(), storeClock);
+    ConfigurationAuthority authority =
+        new OperatorConfiguration(store, log, Set.copyOf(settings.zones()));
+    return new PlatformParts(store.toPlatform(), authority, storeClock);
+  }
+
+  private static PlatformParts withAcceptance(
+      Platform services, ConfigurationLog log, InstantSource clock) {
+    return new PlatformParts(services, new ConfigurationStore(services, log, clock), clock);
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -28,6 +28,7 @@
   private final CallSignature signature;
   private final CallTracing tracing;
   private final InstantSource clock;
+  private final int replayableBodyBytes;
 
   // -- construction
 
@@ -37,7 +38,9 @@
       AdmissionService admission,
       CallSignature signature,
       CallTracing tracing,
-      InstantSource clock) {
+      InstantSource clock,
+      int replayableBodyBytes) {
+    this.replayableBodyBytes = replayableBodyBytes;
     this.state = requireNonNull(state, "state is null");
     this.admission = requireNonNull(admission, "admission is null");
     this.signature = requireNonNull(signature, "signature is null");
@@ -72,20 +75,35 @@
                 Optional.ofNullable(
                     exchange.getRequestHeaders().getFirst(CallHeaders.TRACE_PARENT)))
             .with("parsleycart.upstream", upstream);
-    RequestBody body =
-        exchange.isRequestComplete()
-            ? RequestBody.Held.empty()
-            : new RequestBody.Streamed(exchange.getRequestChannel());
+    RequestBody.gather(
+        exchange,
+        replayableBodyBytes,
+        body -> submit(exchange, body, contract.get(), span),
+        cause -> {
+          IoUtils.safeClose(exchange.getConnection());
+          span.end(Outcome.NOT_RUN);
+        });
+  }
+
+  private void submit(
+      HttpServerExchange exchange, RequestBody body, Contract contract, CallTracing.CallSpan span) {
+    String identifier = header(exchange, CallHeaders.REQUEST_IDENTIFIER);
+    Cancellation cancellation = new Cancellation();
+    if (body.isReplayable()) {
+      WatchedSource.watch(exchange, cancellation::cancel);
+    }
     admission.submit(
         new LocalCall(
             exchange,
             body,
             identifier,
-            upstream,
-            routeName,
-            contract.get(),
+            header(exchange, CallHeaders.UPSTREAM),
+            header(exchange, CallHeaders.ROUTE),
+            contract,
             deadline(exchange),
             span.traceParent(),
+            Optional.empty(),
+            cancellation,
             new Answer(exchange, identifier, span)));
   }
 
@@ -105,16 +123,29 @@
   private record Answer(HttpServerExchange exchange, String identifier, CallTracing.CallSpan span)
       implements LocalCall.Listener {
 
+    @Override
+    public void noteLoad(LoadReport load) {
+      if (!exchange.isResponseStarted()) {
+        Refusals.putLoad(exchange, load);
+      }
+    }
+
     @Override
     public void refused(RefusalReason reason) {
       span.end(Outcome.NOT_RUN);
       Refusals.toDaemon(exchange, identifier, Outcome.NOT_RUN, reason.toString());
     }
 
+    @Override
+    public boolean isDelivered(int status) {
+      return true;
+    }
+
     @Override
     public void beforeDelivery(HttpServerExchange delivered, LoadReport load) {
+      delivered.getResponseHeaders().put(CallHeaders.REQUEST_IDENTIFIER, identifier);
       delivered.getResponseHeaders().put(CallHeaders.OUTCOME, Outcome.ANSWERED.toString());
-      delivered.getResponseHeaders().put(CallHeaders.LOAD, load.toString());
+      Refusals.putLoad(delivered, load);
     }
 
     @Override
@@ -127,7 +158,11 @@
         IoUtils.safeClose(exchange.getConnection());
         return;
       }
-      Refusals.toDaemon(exchange, identifier, end.outcome(), end.fault().name());
+      String reason =
+          end.fault() == AttemptEnd.Fault.REFUSED_BY_UPSTREAM
+              ? RefusalReason.REFUSED_BY_UPSTREAM.toString()
+              : end.fault().name();
+      Refusals.toDaemon(exchange, identifier, end.outcome(), reason);
     }
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -4,6 +4,7 @@
 
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
 import java.time.Duration;
@@ -12,6 +13,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import org.parsleycart.daemon.call.AttemptEnd.Fault;
 import org.parsleycart.daemon.report.CallEvidence;
 import org.parsleycart.daemon.report.CallEvidence.Series;
 import org.parsleycart.daemon.report.CallMetrics;
@@ -20,19 +23,26 @@
 import org.parsleycart.decision.admission.Admission;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.admission.WaitingCall;
+import org.parsleycart.link.dialect.CallHeaderNames;
+import org.parsleycart.link.dialect.Dialect;
+import org.parsleycart.model.Contract;
 import org.parsleycart.model.Service;
 
 /** Admits calls to the upstreams beside this daemon and sends the admitted ones on. */
 public final class AdmissionService {
   private static final int FIRST_SERVER_ERROR = 500;
+  private static final int MISDIRECTED_REQUEST = 421;
 
   private final MeshState state;
   private final LocalUpstreams upstreams;
   private final KeyedCalls keyedCalls;
   private final Forwarder forwarder;
+  private final Dialect dialect;
   private final CallMetrics metrics;
   private final CallEvidence evidence;
   private final InstantSource clock;
+  private final Hop entryHop;
+  private final Hop relayedHop;
 
   // -- construction
 
@@ -42,6 +52,7 @@
       LocalUpstreams upstreams,
       KeyedCalls keyedCalls,
       Forwarder forwarder,
+      Dialect dialect,
       CallMetrics metrics,
       CallEvidence evidence,
       InstantSource clock) {
@@ -49,9 +60,12 @@
     this.upstreams = requireNonNull(upstreams, "upstreams is null");
     this.keyedCalls = requireNonNull(keyedCalls, "keyedCalls is null");
     this.forwarder = requireNonNull(forwarder, "forwarder is null");
+    this.dialect = requireNonNull(dialect, "dialect is null");
     this.metrics = requireNonNull(metrics, "metrics is null");
     this.evidence = requireNonNull(evidence, "evidence is null");
     this.clock = requireNonNull(clock, "clock is null");
+    this.entryHop = Hop.fromEntryToUpstream(dialect);
+    this.relayedHop = Hop.fromDaemonToUpstream(dialect);
   }
 
   // -- operations
@@ -70,11 +84,25 @@
   }
 
   private void offer(LocalUpstream upstream, LocalCall call) {
+    Contract contract = call.contract();
     WaitingCall<LocalCall> waiting =
-        new WaitingCall<>(call, call.contract().requestKind(), call.route(), call.deadline());
+        new WaitingCall<>(
+            call,
+            contract.queueRank(),
+            call.route(),
+            clock.instant().plus(contract.latencyObjective()),
+            call.deadline());
+    call.cancellation().onCancel(() -> cancelWaiting(upstream, call));
     carryOut(upstream, upstream.admission().offer(waiting));
   }
 
+  private void cancelWaiting(LocalUpstream upstream, LocalCall call) {
+    if (upstream.admission().cancel(call)) {
+      call.listener()
+          .ended(new AttemptEnd(Outcome.NOT_RUN, true, Fault.CALLER_GONE, OptionalInt.empty()));
+    }
+  }
+
   private Optional<RefusalReason> refusal(Optional<LocalUpstream> upstream) {
     if (upstream.isEmpty()) {
       return Optional.of(RefusalReason.UPSTREAM_GONE);
@@ -90,26 +118,37 @@
 
   private void carryOut(LocalUpstream upstream, Admission<LocalCall> admission) {
     admission.refuse().forEach(refused -> metrics.refused(refused.reason()));
-    LocalUpstreams.refuseAll(admission);
+    LocalUpstreams.refuseAll(upstream.admission().load(), admission);
     admission
         .start()
         .forEach(waiting -> waiting.call().onOwnThread(() -> start(upstream, waiting.call())));
   }
 
   private void start(LocalUpstream upstream, LocalCall call) {
+    Progress progress = new Progress(upstream, call, clock.instant());
+    if (call.cancellation().isCancelled()) {
+      progress.ended(new AttemptEnd(Outcome.NOT_RUN, true, Fault.CALLER_GONE, OptionalInt.empty()));
+      return;
+    }
+    CallHeaderNames names = dialect.headers();
     Map<HttpString, String> headers = new LinkedHashMap<>();
     headers.put(CallHeaders.TRACE_PARENT, call.traceParent());
+    headers.put(names.expectedInstance(), call.upstream());
+    call.callerService().ifPresent(service -> headers.put(names.callerService(), service));
     long remaining = Duration.between(clock.instant(), call.deadline()).toMillis();
-    headers.put(CallHeaders.DEADLINE, Long.toString(Math.max(1, remaining)));
-    forwarder.forward(
-        new Attempt(
-            call.exchange(),
-            call.body(),
-            upstream.address(),
-            call.requestIdentifier(),
-            headers,
-            call.deadline(),
-            new Progress(upstream, call, clock.instant())));
+    headers.put(names.deadline(), Long.toString(Math.max(1, remaining)));
+    call.cancellation()
+        .onCancel(
+            forwarder.forward(
+                new Attempt(
+                    call.exchange(),
+                    call.body(),
+                    upstream.address(),
+                    call.requestIdentifier(),
+                    call.callerService().isPresent() ? entryHop : relayedHop,
+                    headers,
+                    call.deadline(),
+                    progress)));
   }
 
   /** Follows one admitted call to its end. */
@@ -125,8 +164,24 @@
     }
 
     @Override
-    public Outcome judge(ClientResponse response) {
-      return LocalCall.judge(response);
+    public Optional<AttemptEnd> withhold(ClientResponse response) {
+      int status = response.getResponseCode();
+      if (saysNotRun(response)) {
+        return Optional.of(
+            new AttemptEnd(
+                Outcome.NOT_RUN, false, Fault.REFUSED_BY_UPSTREAM, OptionalInt.of(status)));
+      }
+      return call.listener().isDelivered(status)
+          ? Optional.empty()
+          : Optional.of(
+              new AttemptEnd(Outcome.UNKNOWN, false, Fault.FAILED_ANSWER, OptionalInt.of(status)));
+    }
+
+    private boolean saysNotRun(ClientResponse response) {
+      HeaderMap headers = response.getResponseHeaders();
+      boolean misdirected =
+          dialect.isNamedByCaller() && response.getResponseCode() == MISDIRECTED_REQUEST;
+      return headers.contains(dialect.headers().notRun()) || misdirected;
     }
 
     @Override
@@ -144,31 +199,33 @@
       }
       recordEvidence(end, latency);
       carryOut(upstream, released);
+      call.listener().noteLoad(upstream.admission().load());
       call.listener().ended(end);
     }
 
     private Admission<LocalCall> release(AttemptEnd end, Duration latency) {
+      int status = end.status().orElse(0);
       boolean shed =
-          end.status().orElse(0) == StatusCodes.SERVICE_UNAVAILABLE
-              || end.status().orElse(0) == StatusCodes.TOO_MANY_REQUESTS;
+          status == StatusCodes.SERVICE_UNAVAILABLE || status == StatusCodes.TOO_MANY_REQUESTS;
       if (shed) {
         return upstream.admission().shed();
       }
       return switch (end.fault()) {
-        case NONE, LATE -> upstream.admission().answered(call.route(), latency);
-        case UNREACHABLE, BROKEN -> upstream.admission().failed();
-        case UNUSABLE, CALLER_GONE, REPEATED -> upstream.admission().abandoned();
+        case NONE, LATE, FAILED_ANSWER -> upstream.admission().answered(call.route(), latency);
+        case UNREACHABLE -> upstream.admission().unreachable();
+        case BROKEN -> upstream.admission().failed();
+        case UNUSABLE, CALLER_GONE, REPEATED, REFUSED_BY_UPSTREAM ->
+            upstream.admission().abandoned();
       };
     }
 
     private void recordEvidence(AttemptEnd end, Duration latency) {
-      if (end.fault() == AttemptEnd.Fault.CALLER_GONE) {
+      if (end.fault() == Fault.CALLER_GONE || end.fault() == Fault.REFUSED_BY_UPSTREAM) {
         return;
       }
       Series series =
           new Series(upstream.announced().service(), upstream.announced().version(), call.route());
-      boolean failed =
-          end.fault() != AttemptEnd.Fault.NONE || end.status().orElse(0) >= FIRST_SERVER_ERROR;
+      boolean failed = end.fault() != Fault.NONE || end.status().orElse(0) >= FIRST_SERVER_ERROR;
       if (failed) {
         evidence.failed(series);
       } else {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Attempt.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Attempt.java
@@ -7,7 +7,7 @@
 import io.undertow.util.HttpString;
 import java.time.Instant;
 import java.util.Map;
-import org.parsleycart.decision.Outcome;
+import java.util.Optional;
 
 /**
  * One try to get an exchange answered by the process at an address.
@@ -16,6 +16,7 @@
  * @param body the request body
  * @param address where to send, {@code host:port}
  * @param requestIdentifier the identifier that an answer must not contradict
+ * @param hop the kind of process at the address
  * @param headers headers of the mesh to add
  * @param deadline when the answer is of no use any more
  * @param listener told of the answer and the end
@@ -25,6 +26,7 @@
     RequestBody body,
     String address,
     String requestIdentifier,
+    Hop hop,
     Map<HttpString, String> headers,
     Instant deadline,
     Listener listener) {
@@ -34,6 +36,7 @@
     requireNonNull(body, "body is null");
     requireNonNull(address, "address is null");
     requireNonNull(requestIdentifier, "requestIdentifier is null");
+    requireNonNull(hop, "hop is null");
     headers = Map.copyOf(headers);
     requireNonNull(deadline, "deadline is null");
     requireNonNull(listener, "listener is null");
@@ -43,12 +46,11 @@
   interface Listener {
 
     /**
-     * Takes the head of an answer, whose headers have been copied to the exchange if it is
-     * delivered.
+     * Takes the head of an answer.
      *
-     * @return the outcome that the head tells; only an answered one is delivered
+     * @return empty when the answer is to be delivered, or else the end of the attempt
      */
-    Outcome judge(ClientResponse response);
+    Optional<AttemptEnd> withhold(ClientResponse response);
 
     /** Adds or removes headers of the exchange's response just before it is delivered. */
     void beforeDelivery(HttpServerExchange exchange);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptEnd.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptEnd.java
@@ -26,6 +26,10 @@
     LATE,
     /** The answer was not one to this request, or could not be proved whole. */
     UNUSABLE,
+    /** The upstream answered that it did not run the request. */
+    REFUSED_BY_UPSTREAM,
+    /** The upstream answered that it failed, and another may be asked. */
+    FAILED_ANSWER,
     /** The caller went away. */
     CALLER_GONE,
     /** The idempotency key was used before, or may have been. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -6,7 +6,6 @@
 import io.undertow.util.HttpString;
 import java.util.Arrays;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Set;
 
 /** The headers that the mesh adds to calls, and the rules for passing on all others. */
@@ -42,10 +41,16 @@
 
   /** Copies the headers that go end to end; those of the mesh and of one hop stay behind. */
   static void copyEndToEnd(HeaderMap source, HeaderMap target) {
+    copyEndToEnd(source, target, Set.of());
+  }
+
+  /** Copies the headers that go end to end, but for those given. */
+  static void copyEndToEnd(HeaderMap source, HeaderMap target, Set<HttpString> replaced) {
     Set<HttpString> named = namedByConnection(source);
     for (HeaderValues values : source) {
       HttpString name = values.getHeaderName();
-      if (!HOP_BY_HOP.contains(name) && !named.contains(name) && !isOfMesh(name)) {
+      boolean ofOneHop = HOP_BY_HOP.contains(name) || named.contains(name);
+      if (!ofOneHop && !replaced.contains(name) && !isOfMesh(name)) {
         target.addAll(name, values);
       }
     }
@@ -53,7 +58,7 @@
 
   /** Returns whether the header is one of the mesh, which callers may not set. */
   static boolean isOfMesh(HttpString name) {
-    return name.toString().toLowerCase(Locale.ROOT).startsWith(PREFIX);
+    return name.toString().regionMatches(true, 0, PREFIX, 0, PREFIX.length());
   }
 
   private static Set<HttpString> namedByConnection(HeaderMap source) {
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
@@ -0,0 +1,109 @@
+package org.parsleycart.daemon.call;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.parsleycart.daemon.settings.DaemonLimits;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * The HTTP server of a daemon.
+ *
+ * <p>Unlike the usual server of the library, its connections are watched while a request is
+ * answered, so that a caller who leaves is noticed at once.
+ */
+public final class CallServer {
+  private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
+
+  /** Above the idle time after which callers expect connections to be closed. */
+  private static final int IDLE_TIMEOUT_MILLISECONDS = 60_000;
+
+  private static final int WORKER_THREADS = 4;
+  private static final long STACK_BYTES = 256 * 1024;
+  private static final int BACKLOG = 1024;
+
+  private final XnioWorker worker;
+  private final ByteBufferPool buffers;
+  private final OptionMap serverOptions;
+  private final List<AcceptingChannel<? extends StreamConnection>> listeners = new ArrayList<>();
+
+  // -- construction
+
+  private CallServer(XnioWorker worker, ByteBufferPool buffers, OptionMap serverOptions) {
+    this.worker = worker;
+    this.buffers = buffers;
+    this.serverOptions = serverOptions;
+  }
+
+  /** Creates a server that listens nowhere. */
+  public static CallServer create(DaemonLimits limits, ByteBufferPool buffers) throws IOException {
+    requireNonNull(limits, "limits is null");
+    requireNonNull(buffers, "buffers is null");
+    XnioWorker worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_NAME, "calls")
+                    .set(Options.WORKER_IO_THREADS, limits.inputOutputThreads())
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, WORKER_THREADS)
+                    .set(Options.STACK_SIZE, STACK_BYTES)
+                    .set(Options.TCP_NODELAY, true)
+                    .getMap());
+    OptionMap serverOptions =
+        OptionMap.builder()
+            .set(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
+            .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maximumBodyBytes())
+            .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLISECONDS)
+            .set(UndertowOptions.ENABLE_HTTP2, false)
+            .set(UndertowOptions.ALWAYS_SET_DATE, false)
+            .set(UndertowOptions.BUFFER_PIPELINED_DATA, false)
+            .getMap();
+    return new CallServer(worker, buffers, serverOptions);
+  }
+
+  // -- operations
+
+  /** Listens at an address. */
+  public void listen(InetSocketAddress address, HttpHandler handler) throws IOException {
+    HttpOpenListener opening = new HttpOpenListener(buffers, serverOptions);
+    opening.setRootHandler(requireNonNull(handler, "handler is null"));
+    ChannelListener<StreamConnection> watching =
+        connection -> {
+          WatchedSource.install(connection);
+          opening.handleEvent(connection);
+        };
+    AcceptingChannel<? extends StreamConnection> listener =
+        worker.createStreamConnectionServer(
+            address,
+            ChannelListeners.openListenerAdapter(watching),
+            OptionMap.builder()
+                .set(Options.REUSE_ADDRESSES, true)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.BACKLOG, BACKLOG)
+                .getMap());
+    listener.resumeAccepts();
+    listeners.add(listener);
+  }
+
+  /** Closes all listeners and connections. */
+  public void stop() {
+    listeners.forEach(IoUtils::safeClose);
+    worker.shutdownNow();
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -5,8 +5,10 @@
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientResponse;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
@@ -17,6 +19,8 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -29,7 +33,14 @@
  * Used by its thread alone.
  */
 final class ConnectionPool {
-  private static final Duration LONGEST_IDLE = Duration.ofSeconds(20);
+  /** How long an idle connection is kept when the other side does not say; below its usual 60 s. */
+  static final Duration LONGEST_IDLE = Duration.ofSeconds(20);
+
+  /** A connection is not used in the last second before the other side closes it. */
+  private static final Duration MARGIN_BEFORE_CLOSE = Duration.ofSeconds(1);
+
+  private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
+  private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
   private final XnioIoThread thread;
   private final ByteBufferPool buffers;
@@ -44,7 +55,7 @@
     private int open;
   }
 
-  private record Idle(ClientConnection connection, Instant since) {}
+  private record Idle(ClientConnection connection, Instant since, Instant until) {}
 
   // -- construction
 
@@ -85,7 +96,8 @@
             new ClientCallback<>() {
               @Override
               public void completed(ClientConnection connection) {
-                connection.addCloseListener(closed -> thread.execute(() -> target.open--));
+                // Runs on this thread, which also closes the connections when it ends.
+                connection.addCloseListener(closed -> target.open--);
                 callback.completed(connection);
               }
 
@@ -105,11 +117,11 @@
   }
 
   private ClientConnection takeIdle(Target target) {
-    Instant oldest = clock.instant().minus(LONGEST_IDLE);
+    Instant now = clock.instant();
     while (!target.idle.isEmpty()) {
       Idle idle = target.idle.pollFirst();
       idleCount--;
-      if (idle.connection().isOpen() && idle.since().isAfter(oldest)) {
+      if (idle.connection().isOpen() && idle.until().isAfter(now)) {
         return idle.connection();
       }
       IoUtils.safeClose(idle.connection());
@@ -117,14 +129,33 @@
     return null;
   }
 
-  /** Takes back a connection whose exchange has ended whole. */
-  void release(String address, ClientConnection connection) {
+  /** Returns how long a connection may be idle, as far as an answer on it tells. */
+  static Duration reusableFor(ClientResponse response) {
+    String stated = response.getResponseHeaders().getFirst(KEEP_ALIVE);
+    Matcher matcher = TIMEOUT.matcher(stated == null ? "" : stated);
+    if (!matcher.find()) {
+      return LONGEST_IDLE;
+    }
+    Duration timeout = Duration.ofSeconds(Long.parseLong(matcher.group(1)));
+    Duration usable = timeout.minus(MARGIN_BEFORE_CLOSE);
+    return usable.compareTo(LONGEST_IDLE) < 0 ? usable : LONGEST_IDLE;
+  }
+
+  /**
+   * Takes back a connection whose exchange has ended whole.
+   *
+   * @param address where it leads
+   * @param connection the connection
+   * @param reusableFor how long it may be idle before it is used again
+   */
+  void release(String address, ClientConnection connection, Duration reusableFor) {
     Target target = targets.get(address);
     if (!connection.isOpen() || target == null) {
       IoUtils.safeClose(connection);
       return;
     }
-    target.idle.addFirst(new Idle(connection, clock.instant()));
+    Instant now = clock.instant();
+    target.idle.addFirst(new Idle(connection, now, now.plus(reusableFor)));
     idleCount++;
     if (idleCount > idleConnections) {
       dropOldest();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -7,11 +7,11 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
@@ -20,15 +20,13 @@
 import org.parsleycart.decision.Outcome;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.admission.RetryAdvice;
 import org.parsleycart.decision.membership.Rendezvous;
 import org.parsleycart.decision.routing.Candidate;
 import org.parsleycart.decision.routing.CandidatePool;
 import org.parsleycart.decision.routing.UpstreamDirectory;
 import org.parsleycart.decision.routing.UpstreamLoad;
 import org.parsleycart.decision.routing.VersionChoice;
-import org.parsleycart.model.Configuration;
-import org.parsleycart.model.Contract;
-import org.parsleycart.model.Route;
 import org.parsleycart.model.Service;
 import org.xnio.IoUtils;
 
@@ -41,17 +39,16 @@
 
   private final EntryParts parts;
   private final HttpServerExchange exchange;
-  private final String identifier;
-  private final Route route;
-  private final Contract contract;
-  private final Instant arrivedAt;
-  private final Instant deadline;
+  private final EntryRequest request;
   private final CallTracing.CallSpan span;
+  private final Cancellation cancellation = new Cancellation();
   private final Optional<String> key;
   private final Set<String> tried = new HashSet<>();
-  private int attempts;
+  private int arrivals;
+  private int refusals;
   private boolean mayHaveRun;
   private boolean late;
+  private boolean finished;
   private RefusalReason lastRefusal = RefusalReason.NO_UPSTREAM;
 
   // -- construction
@@ -59,29 +56,28 @@
   EntryCall(
       EntryParts parts,
       HttpServerExchange exchange,
-      String identifier,
-      Route route,
-      Contract contract,
-      Instant arrivedAt,
-      Instant deadline,
+      EntryRequest request,
       CallTracing.CallSpan span) {
     this.parts = requireNonNull(parts, "parts is null");
     this.exchange = requireNonNull(exchange, "exchange is null");
-    this.identifier = requireNonNull(identifier, "identifier is null");
-    this.route = requireNonNull(route, "route is null");
-    this.contract = requireNonNull(contract, "contract is null");
-    this.arrivedAt = requireNonNull(arrivedAt, "arrivedAt is null");
-    this.deadline = requireNonNull(deadline, "deadline is null");
+    this.request = requireNonNull(request, "request is null");
     this.span = requireNonNull(span, "span is null");
-    this.key = keyOf(exchange, contract);
+    this.key = keyOf(exchange, request);
   }
 
   // -- progress
 
   void start() {
-    parts.retries().called();
+    parts.retries().called(request.service().name());
     RequestBody.gather(
-        exchange, parts.limits().replayableBodyBytes(), this::attempt, this::callerBrokeOff);
+        exchange, parts.limits().replayableBodyBytes(), this::bodyReady, this::callerBrokeOff);
+  }
+
+  private void bodyReady(RequestBody body) {
+    if (body.isReplayable()) {
+      WatchedSource.watch(exchange, this::callerGone);
+    }
+    attempt(body);
   }
 
   private void callerBrokeOff(IOException cause) {
@@ -90,13 +86,22 @@
     finish(Outcome.NOT_RUN);
   }
 
+  private void callerGone() {
+    parts.metrics().callerLeft();
+    cancellation.cancel();
+    IoUtils.safeClose(exchange.getConnection());
+    finish(arrivals > 0 ? Outcome.UNKNOWN : Outcome.NOT_RUN);
+  }
+
   private void attempt(RequestBody body) {
+    if (finished) {
+      return;
+    }
     Optional<Candidate> candidate = choose();
     if (candidate.isEmpty()) {
       giveUp();
       return;
     }
-    attempts++;
     tried.add(candidate.get().identifier());
     UpstreamLoad load = parts.loads().of(candidate.get());
     load.started();
@@ -109,38 +114,32 @@
   }
 
   private Optional<Candidate> choose() {
-    Configuration configuration = parts.state().configuration();
-    Optional<Service> service = configuration.service(route.service());
-    if (service.isEmpty()) {
-      return Optional.empty();
-    }
+    Service service = request.service();
     RandomGenerator versions =
         key.<RandomGenerator>map(each -> new SplittableRandom(each.hashCode()))
             .orElseGet(parts.random());
     VersionChoice choice =
-        VersionChoice.of(configuration, service.get(), parts.state().facts(), versions);
+        VersionChoice.of(request.configuration(), service, parts.state().facts(), versions);
     UpstreamDirectory directory = parts.state().directory();
-    return choose(directory.pool(route.service(), choice.version()))
+    return choose(directory.pool(service.name(), choice.versions()))
         .or(
             () ->
-                choice
-                    .standIn()
-                    .flatMap(version -> choose(directory.pool(route.service(), version))));
+                choice.standIn().flatMap(others -> choose(directory.pool(service.name(), others))));
   }
 
   /** Chooses by load, or, for a request that must not run twice, always the same upstream. */
   private Optional<Candidate> choose(CandidatePool pool) {
     if (key.isPresent()) {
       Optional<String> owner = Rendezvous.owner(pool.all().map(Candidate::identifier), key.get());
-      return attempts > 0
-          ? Optional.empty()
-          : pool.all().filter(each -> owner.equals(Optional.of(each.identifier()))).findFirst();
+      return tried.isEmpty()
+          ? pool.all().filter(each -> owner.equals(Optional.of(each.identifier()))).findFirst()
+          : Optional.empty();
     }
     return parts.selection().choose(pool, tried, parts.clock().instant(), parts.random().get());
   }
 
-  private static Optional<String> keyOf(HttpServerExchange exchange, Contract contract) {
-    return contract.requestKind().isIdempotent()
+  private static Optional<String> keyOf(HttpServerExchange exchange, EntryRequest request) {
+    return request.contract().requestKind().isIdempotent()
         ? Optional.empty()
         : Optional.ofNullable(exchange.getRequestHeaders().getFirst(CallHeaders.IDEMPOTENCY_KEY));
   }
@@ -152,50 +151,63 @@
             new LocalCall(
                 exchange,
                 body,
-                identifier,
+                request.identifier(),
                 candidate.identifier(),
-                route.name(),
-                contract,
-                deadline,
+                request.route().name(),
+                request.contract(),
+                request.deadline(),
                 span.traceParent(),
+                parts.callerService(),
+                cancellation,
                 new LocalProgress(body, load, candidate.zone())));
   }
 
   private void sendToDaemon(RequestBody body, Candidate candidate, UpstreamLoad load) {
+    String routeName = request.route().name();
     Map<HttpString, String> headers = new LinkedHashMap<>();
     headers.put(CallHeaders.UPSTREAM, candidate.identifier());
-    headers.put(CallHeaders.ROUTE, route.name());
+    headers.put(CallHeaders.ROUTE, routeName);
     headers.put(CallHeaders.TRACE_PARENT, span.traceParent());
     headers.put(
         CallHeaders.SIGNATURE,
-        parts.signature().sign(identifier, candidate.identifier(), route.name()));
-    long remaining = Duration.between(parts.clock().instant(), deadline).toMillis();
-    headers.put(CallHeaders.DEADLINE, Long.toString(Math.max(0, remaining)));
+        parts.signature().sign(request.identifier(), candidate.identifier(), routeName));
+    headers.put(CallHeaders.DEADLINE, Long.toString(Math.max(0, remaining().toMillis())));
     parts
-        .forwarder()
-        .forward(
-            new Attempt(
-                exchange,
-                body,
-                candidate.callAddress(),
-                identifier,
-                headers,
-                deadline,
-                new RemoteProgress(body, load, candidate.zone())));
+        .callerService()
+        .ifPresent(service -> headers.put(parts.dialect().headers().callerService(), service));
+    cancellation.onCancel(
+        parts
+            .forwarder()
+            .forward(
+                new Attempt(
+                    exchange,
+                    body,
+                    candidate.callAddress(),
+                    request.identifier(),
+                    parts.hop(),
+                    headers,
+                    request.deadline(),
+                    new RemoteProgress(body, load, candidate.zone()))));
   }
 
   // -- endings
 
   private void attemptEnded(RequestBody body, AttemptEnd end) {
+    if (finished) {
+      return;
+    }
     if (end.delivered()) {
       finish(end.outcome());
       return;
     }
+    boolean refusedBeforeArrival = end.outcome() == Outcome.NOT_RUN && end.fault() == Fault.NONE;
+    boolean arrived = !refusedBeforeArrival && end.fault() != Fault.UNREACHABLE;
+    arrivals += arrived ? 1 : 0;
+    refusals += arrived ? 0 : 1;
     mayHaveRun |= end.outcome() == Outcome.UNKNOWN;
     late |= end.fault() == Fault.LATE;
     boolean bodyUntouched = body.isReplayable() || end.fault() == Fault.UNREACHABLE;
-    Duration remaining = Duration.between(parts.clock().instant(), deadline);
-    if (bodyUntouched && tryAgain(end, remaining)) {
+    if (bodyUntouched && tryAgain(end, arrived)) {
       parts.metrics().retried();
       attempt(body);
     } else {
@@ -203,28 +215,40 @@
     }
   }
 
-  private boolean tryAgain(AttemptEnd end, Duration remaining) {
-    boolean refused = end.outcome() == Outcome.NOT_RUN && end.fault() == Fault.NONE;
-    return refused
-        ? parts.retries().tryAgainAfterRefusal(contract, attempts, lastRefusal, remaining)
-        : parts.retries().tryAgain(contract, attempts, end.outcome(), remaining);
+  private boolean tryAgain(AttemptEnd end, boolean arrived) {
+    String service = request.service().name();
+    return arrived
+        ? parts
+            .retries()
+            .tryAgain(service, request.contract(), arrivals, end.outcome(), remaining())
+        : parts.retries().sendElsewhere(service, refusals, lastRefusal, remaining());
+  }
+
+  private Duration remaining() {
+    return Duration.between(parts.clock().instant(), request.deadline());
   }
 
   private void giveUp() {
     if (exchange.isResponseStarted()) {
       IoUtils.safeClose(exchange.getConnection());
     } else if (mayHaveRun) {
-      Refusals.unknown(exchange, identifier, late);
+      parts.refusals().unknown(exchange, request.identifier(), late);
     } else {
       parts.metrics().refused(lastRefusal);
-      Refusals.notRun(exchange, identifier, lastRefusal);
+      Duration retryAfter = RetryAdvice.of(remaining(), parts.random().get());
+      parts.refusals().notRun(exchange, request.identifier(), lastRefusal, retryAfter);
     }
     finish(mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN);
   }
 
   private void finish(Outcome outcome) {
-    parts.metrics().ended(outcome, Duration.between(arrivedAt, parts.clock().instant()));
-    span.with("parsleycart.attempts", Integer.toString(attempts)).end(outcome);
+    if (finished) {
+      return;
+    }
+    finished = true;
+    Duration duration = Duration.between(request.arrivedAt(), parts.clock().instant());
+    parts.metrics().ended(outcome, duration);
+    span.with("parsleycart.attempts", Integer.toString(tried.size())).end(outcome);
   }
 
   private void noteEnd(UpstreamLoad load, AttemptEnd end) {
@@ -240,12 +264,27 @@
   }
 
   private void noteFailure(UpstreamLoad load, Fault fault) {
-    boolean daemonAtFault = fault == Fault.UNREACHABLE || fault == Fault.BROKEN;
-    if (daemonAtFault || fault == Fault.LATE || fault == Fault.UNUSABLE) {
-      load.failed(parts.clock().instant());
+    switch (fault) {
+      case UNREACHABLE, BROKEN, LATE, UNUSABLE -> load.failed(parts.clock().instant());
+      case REFUSED_BY_UPSTREAM, FAILED_ANSWER -> load.answered(true, parts.clock().instant());
+      case NONE, CALLER_GONE, REPEATED -> {}
     }
   }
 
+  /**
+   * Returns whether an answer that says that the upstream failed is dropped for another attempt.
+   */
+  private boolean isRetriedInstead(RequestBody body, int status) {
+    return status >= FIRST_SERVER_ERROR
+        && request.contract().requestKind().isIdempotent()
+        && parts.dialect().isNamedByCaller()
+        && body.isReplayable()
+        && parts
+            .retries()
+            .mayRetryFailedAnswer(
+                request.service().name(), request.contract(), arrivals + 1, remaining());
+  }
+
   // -- progress of attempts
 
   /** Follows an attempt at an upstream beside this daemon. */
@@ -260,6 +299,11 @@
       this.zone = zone;
     }
 
+    @Override
+    public void noteLoad(LoadReport report) {
+      load.reported(report);
+    }
+
     @Override
     public void refused(RefusalReason reason) {
       lastRefusal = reason;
@@ -268,11 +312,15 @@
       attemptEnded(body, end);
     }
 
+    @Override
+    public boolean isDelivered(int status) {
+      return !isRetriedInstead(body, status);
+    }
+
     @Override
     public void beforeDelivery(HttpServerExchange delivered, LoadReport report) {
       load.reported(report);
-      delivered.getResponseHeaders().put(CallHeaders.OUTCOME, Outcome.ANSWERED.toString());
-      delivered.getResponseHeaders().put(CallHeaders.ZONE, zone);
+      parts.refusals().markAnswered(delivered, request.identifier(), zone);
     }
 
     @Override
@@ -296,19 +344,37 @@
     }
 
     @Override
-    public Outcome judge(ClientResponse response) {
+    public Optional<AttemptEnd> withhold(ClientResponse response) {
       String report = response.getResponseHeaders().getFirst(CallHeaders.LOAD);
       Optional.ofNullable(report).flatMap(LoadReport::parse).ifPresent(load::reported);
+      Outcome outcome =
+          Optional.ofNullable(response.getResponseHeaders().getFirst(CallHeaders.OUTCOME))
+              .flatMap(Outcome::ofLabel)
+              .orElse(Outcome.UNKNOWN);
+      OptionalInt status = OptionalInt.of(response.getResponseCode());
+      if (outcome == Outcome.ANSWERED) {
+        return isRetriedInstead(body, response.getResponseCode())
+            ? Optional.of(new AttemptEnd(Outcome.UNKNOWN, false, Fault.FAILED_ANSWER, status))
+            : Optional.empty();
+      }
       String reason = response.getResponseHeaders().getFirst(CallHeaders.REASON);
       lastRefusal = RefusalReason.ofLabel(reason).orElse(RefusalReason.UNREACHABLE);
-      String outcome = response.getResponseHeaders().getFirst(CallHeaders.OUTCOME);
-      return Optional.ofNullable(outcome).flatMap(Outcome::ofLabel).orElse(Outcome.UNKNOWN);
+      return Optional.of(new AttemptEnd(outcome, false, faultOf(outcome), status));
+    }
+
+    /** Tells a refusal of the upstream from one of the daemon beside it, which is no arrival. */
+    private Fault faultOf(Outcome outcome) {
+      if (outcome == Outcome.UNKNOWN) {
+        return Fault.BROKEN;
+      }
+      return lastRefusal == RefusalReason.REFUSED_BY_UPSTREAM
+          ? Fault.REFUSED_BY_UPSTREAM
+          : Fault.NONE;
     }
 
     @Override
     public void beforeDelivery(HttpServerExchange delivered) {
-      delivered.getResponseHeaders().put(CallHeaders.OUTCOME, Outcome.ANSWERED.toString());
-      delivered.getResponseHeaders().put(CallHeaders.ZONE, zone);
+      parts.refusals().markAnswered(delivered, request.identifier(), zone);
     }
 
     @Override
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -13,6 +13,8 @@
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.decision.Outcome;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.admission.RetryAdvice;
+import org.parsleycart.decision.routing.DestinationChoice;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
 import org.parsleycart.model.Route;
@@ -20,6 +22,9 @@
 
 /** Takes calls from callers, finds their route and follows them to their answer. */
 public final class EntryHandler implements HttpHandler {
+  /** What a caller that states no deadline is taken to wait at most. */
+  private static final Duration LONGEST_WAIT = Duration.ofMinutes(5);
+
   private final EntryParts parts;
 
   // -- construction
@@ -38,36 +43,47 @@
 
   private void take(HttpServerExchange exchange) {
     Instant arrivedAt = parts.clock().instant();
-    String identifier = newRequestIdentifier();
+    String identifier = identifierOf(exchange);
     MeshState state = parts.state();
     Configuration configuration = state.configuration();
     Optional<RefusalReason> fault =
         exchange.isHostIncludedInRequestURI()
             ? Optional.of(RefusalReason.BAD_REQUEST)
             : RequestFraming.fault(exchange, parts.limits().maximumBodyBytes());
-    Optional<Route> route = configuration.routeFor(exchange.getRequestPath(), state.labels());
-    Optional<Service> service = route.flatMap(each -> configuration.service(each.service()));
+    Optional<Route> route =
+        configuration.routeFor(hostOf(exchange), exchange.getRequestPath(), state.labels());
+    Optional<Service> service =
+        route
+            .map(found -> DestinationChoice.of(found, parts.random().get()))
+            .flatMap(configuration::service);
     Optional<Contract> contract = route.flatMap(each -> configuration.contract(each.contract()));
     Optional<RefusalReason> refusal = fault.or(() -> refusal(state, service, contract));
     if (refusal.isPresent()) {
       refuse(exchange, identifier, refusal.get(), arrivedAt);
       return;
     }
-    CallTracing.CallSpan span =
-        parts
-            .tracing()
-            .startSpan(
-                "entry",
-                SpanKind.SERVER,
-                Optional.ofNullable(
-                    exchange.getRequestHeaders().getFirst(CallHeaders.TRACE_PARENT)))
-            .with("parsleycart.route", route.get().name())
-            .with("parsleycart.request", identifier);
-    Instant deadline = deadline(exchange, contract.get(), arrivedAt);
-    EntryCall call =
-        new EntryCall(
-            parts, exchange, identifier, route.get(), contract.get(), arrivedAt, deadline, span);
-    call.start();
+    CallTracing.CallSpan span = startSpan(exchange, identifier, route.get());
+    EntryRequest request =
+        new EntryRequest(
+            identifier,
+            configuration,
+            route.get(),
+            contract.get(),
+            service.get(),
+            arrivedAt,
+            deadline(exchange, contract.get(), arrivedAt));
+    new EntryCall(parts, exchange, request, span).start();
+  }
+
+  private CallTracing.CallSpan startSpan(
+      HttpServerExchange exchange, String identifier, Route route) {
+    Optional<String> parent =
+        Optional.ofNullable(exchange.getRequestHeaders().getFirst(CallHeaders.TRACE_PARENT));
+    return parts
+        .tracing()
+        .startSpan("entry", SpanKind.SERVER, parent)
+        .with("parsleycart.route", route.name())
+        .with("parsleycart.request", identifier);
   }
 
   private static Optional<RefusalReason> refusal(
@@ -84,16 +100,35 @@
       HttpServerExchange exchange, String identifier, RefusalReason reason, Instant arrivedAt) {
     parts.metrics().refused(reason);
     parts.metrics().ended(Outcome.NOT_RUN, Duration.between(arrivedAt, parts.clock().instant()));
-    Refusals.notRun(exchange, identifier, reason);
+    Duration retryAfter = RetryAdvice.of(statedTime(exchange), parts.random().get());
+    parts.refusals().notRun(exchange, identifier, reason, retryAfter);
+  }
+
+  private static Optional<String> hostOf(HttpServerExchange exchange) {
+    String name = exchange.getHostName();
+    return Optional.ofNullable(name).filter(each -> !each.isEmpty());
+  }
+
+  private Instant deadline(HttpServerExchange exchange, Contract contract, Instant arrivedAt) {
+    Duration stated = statedTime(exchange);
+    boolean shorter = stated.compareTo(contract.deadline()) < 0;
+    return arrivedAt.plus(shorter ? stated : contract.deadline());
+  }
+
+  /** Returns how long the caller says that it waits. */
+  private Duration statedTime(HttpServerExchange exchange) {
+    String text = exchange.getRequestHeaders().getFirst(parts.dialect().headers().deadline());
+    return text != null && text.matches("[0-9]{1,9}")
+        ? Duration.ofMillis(Long.parseLong(text))
+        : LONGEST_WAIT;
   }
 
-  private static Instant deadline(
-      HttpServerExchange exchange, Contract contract, Instant arrivedAt) {
-    String text = exchange.getRequestHeaders().getFirst(CallHeaders.DEADLINE);
-    boolean stated = text != null && text.matches("[0-9]{1,9}");
-    Duration stricter = stated ? Duration.ofMillis(Long.parseLong(text)) : contract.deadline();
-    boolean shorter = stricter.compareTo(contract.deadline()) < 0;
-    return arrivedAt.plus(shorter ? stricter : contract.deadline());
+  private String identifierOf(HttpServerExchange exchange) {
+    String named =
+        parts.dialect().isNamedByCaller()
+            ? exchange.getRequestHeaders().getFirst(parts.dialect().headers().requestIdentifier())
+            : null;
+    return Optional.ofNullable(named).orElseGet(this::newRequestIdentifier);
   }
 
   private String newRequestIdentifier() {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryParts.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleycart.daemon.report.CallMetrics;
@@ -12,6 +13,7 @@
 import org.parsleycart.decision.routing.LoadBoard;
 import org.parsleycart.decision.routing.RetryPolicy;
 import org.parsleycart.decision.routing.UpstreamSelection;
+import org.parsleycart.link.dialect.Dialect;
 
 /**
  * What the entry works with.
@@ -24,6 +26,10 @@
  * @param admission admits calls to upstreams beside this daemon
  * @param forwarder sends calls to other daemons
  * @param signature signs calls to other daemons
+ * @param dialect how callers speak
+ * @param callerService the service beside this daemon, which upstreams are told
+ * @param refusals writes the answers of the mesh itself
+ * @param hop the hop to other daemons
  * @param metrics counts calls
  * @param tracing starts spans
  * @param limits bounds of bodies
@@ -39,6 +45,10 @@
     AdmissionService admission,
     Forwarder forwarder,
     CallSignature signature,
+    Dialect dialect,
+    Optional<String> callerService,
+    Refusals refusals,
+    Hop hop,
     CallMetrics metrics,
     CallTracing tracing,
     DaemonLimits limits,
@@ -56,6 +66,10 @@
     requireNonNull(admission, "admission is null");
     requireNonNull(forwarder, "forwarder is null");
     requireNonNull(signature, "signature is null");
+    requireNonNull(dialect, "dialect is null");
+    requireNonNull(callerService, "callerService is null");
+    requireNonNull(refusals, "refusals is null");
+    requireNonNull(hop, "hop is null");
     requireNonNull(metrics, "metrics is null");
     requireNonNull(tracing, "tracing is null");
     requireNonNull(limits, "limits is null");
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryRequest.java
@@ -0,0 +1,40 @@
+package org.parsleycart.daemon.call;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Instant;
+import org.parsleycart.model.Configuration;
+import org.parsleycart.model.Contract;
+import org.parsleycart.model.Route;
+import org.parsleycart.model.Service;
+
+/**
+ * A caller's request once its route is known.
+ *
+ * @param identifier names the request
+ * @param configuration the configuration under which it was taken
+ * @param route its route
+ * @param contract the contract of the route
+ * @param service the destination chosen among those of the route
+ * @param arrivedAt when it arrived
+ * @param deadline when an answer is of no use any more
+ */
+record EntryRequest(
+    String identifier,
+    Configuration configuration,
+    Route route,
+    Contract contract,
+    Service service,
+    Instant arrivedAt,
+    Instant deadline) {
+
+  EntryRequest {
+    requireNonNull(identifier, "identifier is null");
+    requireNonNull(configuration, "configuration is null");
+    requireNonNull(route, "route is null");
+    requireNonNull(contract, "contract is null");
+    requireNonNull(service, "service is null");
+    requireNonNull(arrivedAt, "arrivedAt is null");
+    requireNonNull(deadline, "deadline is null");
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Forwarder.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Forwarder.java
@@ -19,10 +19,16 @@
 
   // -- operations
 
-  /** Starts an attempt; must run on the input/output thread of its exchange. */
-  void forward(Attempt attempt) {
+  /**
+   * Starts an attempt; must run on the input/output thread of its exchange.
+   *
+   * @return stops the attempt when it is run on that thread
+   */
+  Runnable forward(Attempt attempt) {
     requireNonNull(attempt, "attempt is null");
     ConnectionPool pool = pools.of(attempt.exchange().getIoThread());
-    new Forwarding(attempt, pool, pools.buffers(), clock).start();
+    Forwarding forwarding = new Forwarding(attempt, pool, pools.buffers(), clock);
+    forwarding.start();
+    return forwarding::cancel;
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Forwarding.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Forwarding.java
@@ -15,6 +15,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.parsleycart.daemon.call.AttemptEnd.Fault;
@@ -41,6 +42,7 @@
   private boolean requestSent;
   private boolean delivering;
   private boolean ended;
+  private Duration reusableFor = ConnectionPool.LONGEST_IDLE;
 
   // -- construction
 
@@ -78,7 +80,7 @@
 
   private void connected(ClientConnection opened) {
     if (ended) {
-      pool.release(attempt.address(), opened);
+      pool.release(attempt.address(), opened, reusableFor);
       return;
     }
     connection = opened;
@@ -105,9 +107,9 @@
     ClientRequest request =
         new ClientRequest().setMethod(exchange.getRequestMethod()).setPath(path);
     HeaderMap headers = request.getRequestHeaders();
-    CallHeaders.copyEndToEnd(exchange.getRequestHeaders(), headers);
+    CallHeaders.copyEndToEnd(exchange.getRequestHeaders(), headers, attempt.hop().replaced());
     attempt.headers().forEach(headers::put);
-    headers.put(CallHeaders.REQUEST_IDENTIFIER, attempt.requestIdentifier());
+    headers.put(attempt.hop().identifierHeader(), attempt.requestIdentifier());
     if (!headers.contains(Headers.HOST)) {
       headers.put(Headers.HOST, attempt.address());
     }
@@ -165,16 +167,17 @@
       return;
     }
     ClientResponse response = answered.getResponse();
-    if (isOfAnotherRequest(response) || !isFramed(response)) {
+    reusableFor = ConnectionPool.reusableFor(response);
+    boolean usable = attempt.hop().mayEndWithConnection() || isFramed(response);
+    if (isOfAnotherRequest(response) || !usable) {
       pool.discard(connection);
       end(AttemptEnd.failed(Outcome.UNKNOWN, Fault.UNUSABLE));
       return;
     }
-    Outcome outcome = attempt.listener().judge(response);
-    if (outcome != Outcome.ANSWERED) {
+    Optional<AttemptEnd> withheld = attempt.listener().withhold(response);
+    if (withheld.isPresent()) {
       giveBackUnread(answered, response);
-      OptionalInt status = OptionalInt.of(response.getResponseCode());
-      end(new AttemptEnd(outcome, false, Fault.NONE, status));
+      end(withheld.get());
       return;
     }
     deliver(answered, response);
@@ -184,7 +187,7 @@
   private void giveBackUnread(ClientExchange answered, ClientResponse response) {
     boolean empty = "0".equals(response.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH));
     if (empty && requestSent && isAtEnd(answered.getResponseChannel())) {
-      pool.release(attempt.address(), connection);
+      pool.release(attempt.address(), connection, reusableFor);
     } else {
       pool.discard(connection);
     }
@@ -199,8 +202,8 @@
   }
 
   private boolean isOfAnotherRequest(ClientResponse response) {
-    String echoed = response.getResponseHeaders().getFirst(CallHeaders.REQUEST_IDENTIFIER);
-    return echoed != null && !echoed.equals(attempt.requestIdentifier());
+    String echoed = response.getResponseHeaders().getFirst(attempt.hop().identifierHeader());
+    return echoed == null ? attempt.hop().mustEcho() : !echoed.equals(attempt.requestIdentifier());
   }
 
   private boolean isFramed(ClientResponse response) {
@@ -222,7 +225,6 @@
     exchange.setStatusCode(response.getResponseCode());
     HeaderMap headers = exchange.getResponseHeaders();
     CallHeaders.copyEndToEnd(response.getResponseHeaders(), headers);
-    headers.put(CallHeaders.REQUEST_IDENTIFIER, attempt.requestIdentifier());
     attempt.listener().beforeDelivery(exchange);
     OptionalInt status = OptionalInt.of(response.getResponseCode());
     BodyPump.start(
@@ -251,7 +253,7 @@
 
   private void delivered(OptionalInt status) {
     if (!ended && requestSent) {
-      pool.release(attempt.address(), connection);
+      pool.release(attempt.address(), connection, reusableFor);
     } else if (!ended) {
       pool.discard(connection);
     }
@@ -260,13 +262,22 @@
 
   // -- failing
 
+  /** Stops the attempt because its caller has gone; the other side sees its connection closed. */
+  void cancel() {
+    if (!ended) {
+      callerGone();
+    }
+  }
+
   private void broken() {
     pool.discard(connection);
     end(AttemptEnd.failed(Outcome.UNKNOWN, Fault.BROKEN));
   }
 
   private void callerGone() {
-    pool.discard(connection);
+    if (connection != null) {
+      pool.discard(connection);
+    }
     IoUtils.safeClose(attempt.exchange().getConnection());
     end(new AttemptEnd(Outcome.UNKNOWN, true, Fault.CALLER_GONE, OptionalInt.empty()));
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
@@ -2,10 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
 import java.time.Instant;
-import org.parsleycart.decision.Outcome;
+import java.util.Optional;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.model.Contract;
@@ -22,6 +21,8 @@
  * @param contract the contract of the route
  * @param deadline when an answer is of no use any more
  * @param traceParent the trace context for the upstream
+ * @param callerService the service beside the entry, when this daemon is the entry
+ * @param cancellation stops the call when its caller has gone
  * @param listener told of the refusal or the end, on the exchange's input/output thread
  */
 record LocalCall(
@@ -33,6 +34,8 @@
     Contract contract,
     Instant deadline,
     String traceParent,
+    Optional<String> callerService,
+    Cancellation cancellation,
     Listener listener) {
 
   LocalCall {
@@ -44,15 +47,23 @@
     requireNonNull(contract, "contract is null");
     requireNonNull(deadline, "deadline is null");
     requireNonNull(traceParent, "traceParent is null");
+    requireNonNull(callerService, "callerService is null");
+    requireNonNull(cancellation, "cancellation is null");
     requireNonNull(listener, "listener is null");
   }
 
   /** Told of the refusal or of the end of a call. */
   interface Listener {
 
+    /** Takes the load of the upstream, just before a refusal or an end. */
+    void noteLoad(LoadReport load);
+
     /** Takes a refusal: no byte of the request reached the upstream. */
     void refused(RefusalReason reason);
 
+    /** Returns whether an answer of the upstream with the given status is to be delivered. */
+    boolean isDelivered(int status);
+
     /** Adds headers to the response just before it is delivered. */
     void beforeDelivery(HttpServerExchange exchange, LoadReport load);
 
@@ -68,11 +79,21 @@
       this.next = requireNonNull(next, "next is null");
     }
 
+    @Override
+    public void noteLoad(LoadReport load) {
+      next.noteLoad(load);
+    }
+
     @Override
     public void refused(RefusalReason reason) {
       next.refused(reason);
     }
 
+    @Override
+    public boolean isDelivered(int status) {
+      return next.isDelivered(status);
+    }
+
     @Override
     public void beforeDelivery(HttpServerExchange exchange, LoadReport load) {
       next.beforeDelivery(exchange, load);
@@ -95,15 +116,11 @@
         contract,
         deadline,
         traceParent,
+        callerService,
+        cancellation,
         newListener);
   }
 
-  /** Returns the outcome that an answer of an upstream tells: it always answers the call. */
-  static Outcome judge(ClientResponse response) {
-    requireNonNull(response, "response is null");
-    return Outcome.ANSWERED;
-  }
-
   /** Runs a task on the thread of the exchange: at once when that is the thread running now. */
   void onOwnThread(Runnable task) {
     XnioIoThread own = exchange.getIoThread();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstream.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstream.java
@@ -3,8 +3,10 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Instant;
+import java.util.Optional;
 import org.parsleycart.decision.admission.AdmissionControl;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
+import org.parsleycart.decision.membership.UpstreamHeartbeat;
 
 /**
  * An upstream beside this daemon.
@@ -12,24 +14,36 @@
  * @param announced what the other daemons know of it
  * @param address where it takes requests, {@code host:port}
  * @param renewBy when its announcement lapses
+ * @param heartbeat what it last said of itself, if it sends heartbeats
  * @param admission admits the calls to it
  */
 record LocalUpstream(
     AnnouncedUpstream announced,
     String address,
     Instant renewBy,
+    Optional<UpstreamHeartbeat> heartbeat,
     AdmissionControl<LocalCall> admission) {
 
   LocalUpstream {
     requireNonNull(announced, "announced is null");
     requireNonNull(address, "address is null");
     requireNonNull(renewBy, "renewBy is null");
+    requireNonNull(heartbeat, "heartbeat is null");
     requireNonNull(admission, "admission is null");
   }
 
+  /** Returns this upstream as a later heartbeat of its process tells it. */
+  LocalUpstream after(UpstreamHeartbeat later, Instant newRenewBy) {
+    boolean draining = announced.draining() || later.upstream().draining();
+    LocalUpstream told =
+        new LocalUpstream(
+            later.upstream(), later.address(), newRenewBy, Optional.of(later), admission);
+    return draining ? told.draining() : told;
+  }
+
   /** Returns this upstream with a renewed announcement. */
   LocalUpstream renewed(Instant newRenewBy) {
-    return new LocalUpstream(announced, address, newRenewBy, admission);
+    return new LocalUpstream(announced, address, newRenewBy, heartbeat, admission);
   }
 
   /** Returns whether an announcement renews this upstream; one that drains goes on draining. */
@@ -49,6 +63,6 @@
             announced.version(),
             announced.slots(),
             true);
-    return new LocalUpstream(drained, address, renewBy, admission);
+    return new LocalUpstream(drained, address, renewBy, heartbeat, admission);
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import org.parsleycart.decision.admission.Admission;
 import org.parsleycart.decision.admission.AdmissionControl;
@@ -15,12 +16,23 @@
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
+import org.parsleycart.decision.membership.Departures;
+import org.parsleycart.decision.membership.UpstreamHeartbeat;
+import org.tinylog.Logger;
 
 /**
  * The upstreams beside this daemon, as they announced themselves. Safe for use by several threads.
  */
 public final class LocalUpstreams {
   private final Map<String, LocalUpstream> upstreams = new ConcurrentHashMap<>();
+
+  /**
+   * How long an upstream counts without a heartbeat: several of the usual 1.5 s, as one that runs
+   * may be slow to tell. One that is gone shows at the connection.
+   */
+  private static final Duration HEARTBEAT_LAPSE = Duration.ofSeconds(10);
+
+  private final Departures departures = new Departures();
   private final AdmissionSettings settings;
   private final InstantSource clock;
   private volatile Runnable changed = () -> {};
@@ -68,10 +80,81 @@
     AdmissionControl<LocalCall> admission =
         new AdmissionControl<>(settings, announced.slots(), clock);
     upstreams.put(
-        announced.identifier(), new LocalUpstream(announced, address, renewBy, admission));
+        announced.identifier(),
+        new LocalUpstream(announced, address, renewBy, Optional.empty(), admission));
     changed.run();
   }
 
+  /**
+   * Takes a heartbeat. One that was sent before another from the same address, or by a process that
+   * has left, changes nothing.
+   *
+   * @param heartbeat the heartbeat
+   * @param coldCallsPerSecond what its upstream bears in a second while it is cold
+   * @return whether it counts
+   */
+  public synchronized boolean heartbeat(
+      UpstreamHeartbeat heartbeat, OptionalDouble coldCallsPerSecond) {
+    requireNonNull(heartbeat, "heartbeat is null");
+    if (departures.hasLeft(heartbeat) || isOutdated(heartbeat)) {
+      return false;
+    }
+    String identifier = heartbeat.upstream().identifier();
+    replaceOthers(heartbeat);
+    Instant renewBy = clock.instant().plus(HEARTBEAT_LAPSE);
+    LocalUpstream before = upstreams.get(identifier);
+    boolean sameProcess =
+        before != null
+            && before.heartbeat().filter(last -> last.isOfProcess(heartbeat)).isPresent();
+    LocalUpstream after =
+        sameProcess
+            ? before.after(heartbeat, renewBy)
+            : new LocalUpstream(
+                heartbeat.upstream(),
+                heartbeat.address(),
+                renewBy,
+                Optional.of(heartbeat),
+                new AdmissionControl<>(settings, heartbeat.upstream().slots(), clock));
+    after.admission().setCold(heartbeat.coldFor(), coldCallsPerSecond);
+    upstreams.put(identifier, after);
+    if (!sameProcess || !before.announced().equals(after.announced())) {
+      Logger.info(
+          "upstream {} of {} {}: {}",
+          identifier,
+          after.announced().service(),
+          after.announced().version(),
+          after.announced().draining() ? "draining" : "ready");
+      changed.run();
+    }
+    return true;
+  }
+
+  private boolean isOutdated(UpstreamHeartbeat heartbeat) {
+    return upstreams.values().stream()
+        .filter(held -> held.address().equals(heartbeat.address()))
+        .flatMap(held -> held.heartbeat().stream())
+        .anyMatch(last -> !heartbeat.isAfter(last));
+  }
+
+  /** Removes what ran before at the address of a later process. */
+  private void replaceOthers(UpstreamHeartbeat heartbeat) {
+    upstreams.values().stream()
+        .filter(held -> held.address().equals(heartbeat.address()))
+        .filter(held -> held.heartbeat().filter(last -> !last.isOfProcess(heartbeat)).isPresent())
+        .map(held -> held.announced().identifier())
+        .toList()
+        .forEach(this::leave);
+  }
+
+  /** Removes an upstream that says that it leaves; its heartbeats on the way change nothing. */
+  public synchronized void depart(String identifier) {
+    LocalUpstream held = upstreams.get(identifier);
+    Optional<UpstreamHeartbeat> last = held == null ? Optional.empty() : held.heartbeat();
+    departures.note(identifier, last, clock.instant());
+    Logger.info("upstream {} has left", identifier);
+    leave(identifier);
+  }
+
   /** Lets an upstream finish its calls and take no new ones; returns whether it is known. */
   public boolean drain(String identifier) {
     LocalUpstream drained = upstreams.computeIfPresent(identifier, (key, held) -> held.draining());
@@ -85,7 +168,7 @@
     if (gone == null) {
       return false;
     }
-    refuseAll(gone.admission().close(RefusalReason.UPSTREAM_GONE));
+    refuseAll(gone.admission().load(), gone.admission().close(RefusalReason.UPSTREAM_GONE));
     changed.run();
     return true;
   }
@@ -99,13 +182,18 @@
             .map(upstream -> upstream.announced().identifier())
             .toList();
     lapsed.forEach(this::leave);
-    upstreams.values().forEach(upstream -> refuseAll(upstream.admission().expire()));
+    upstreams
+        .values()
+        .forEach(upstream -> refuseAll(upstream.admission().load(), upstream.admission().expire()));
     return lapsed;
   }
 
   /** Closes admission to all upstreams, as when the zone is withdrawn. */
   public void closeAll(RefusalReason reason) {
-    upstreams.values().forEach(upstream -> refuseAll(upstream.admission().close(reason)));
+    upstreams
+        .values()
+        .forEach(
+            upstream -> refuseAll(upstream.admission().load(), upstream.admission().close(reason)));
   }
 
   /** Opens admission to all upstreams again; they start cold. */
@@ -113,13 +201,17 @@
     upstreams.values().forEach(upstream -> upstream.admission().open());
   }
 
-  static void refuseAll(Admission<LocalCall> admission) {
+  static void refuseAll(LoadReport load, Admission<LocalCall> admission) {
     admission
         .refuse()
         .forEach(
             refused -> {
               LocalCall call = refused.call().call();
-              call.onOwnThread(() -> call.listener().refused(refused.reason()));
+              call.onOwnThread(
+                  () -> {
+                    call.listener().noteLoad(load);
+                    call.listener().refused(refused.reason());
+                  });
             });
   }
 
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/OwnDialect.java
@@ -0,0 +1,60 @@
+package org.parsleycart.daemon.call;
+
+import io.undertow.util.HttpString;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import org.parsleycart.decision.membership.UpstreamHeartbeat;
+import org.parsleycart.link.dialect.CallHeaderNames;
+import org.parsleycart.link.dialect.Dialect;
+import org.parsleycart.model.document.Place;
+import org.parsleycart.model.document.Problem;
+
+/**
+ * The names of the product's own interface; upstreams announce themselves at the operators' API.
+ */
+public final class OwnDialect implements Dialect {
+  private static final CallHeaderNames HEADERS =
+      new CallHeaderNames(
+          CallHeaders.REQUEST_IDENTIFIER,
+          CallHeaders.DEADLINE,
+          new HttpString(CallHeaders.PREFIX + "expected-upstream"),
+          new HttpString(CallHeaders.PREFIX + "caller-service"),
+          new HttpString(CallHeaders.PREFIX + "not-run"),
+          new HttpString(CallHeaders.PREFIX + "upstream-load"),
+          new HttpString(CallHeaders.PREFIX + "upstream"),
+          new HttpString(CallHeaders.PREFIX + "cold-milliseconds"));
+
+  // -- Dialect
+
+  @Override
+  public CallHeaderNames headers() {
+    return HEADERS;
+  }
+
+  @Override
+  public String readinessPath() {
+    return "/readyz";
+  }
+
+  @Override
+  public boolean isNamedByCaller() {
+    return false;
+  }
+
+  @Override
+  public Optional<String> heartbeatSender(String path) {
+    return Optional.empty();
+  }
+
+  @Override
+  public Optional<String> departingUpstream(String path) {
+    return Optional.empty();
+  }
+
+  @Override
+  public Either<List<Problem>, UpstreamHeartbeat> heartbeat(String identifier, byte[] body) {
+    return Either.left(
+        List.of(new Problem(Place.ofRoot("heartbeat"), "a heartbeat", "an announcement")));
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Refusals.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Refusals.java
@@ -1,37 +1,72 @@
 package org.parsleycart.daemon.call;
 
+import static java.util.Objects.requireNonNull;
+
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
+import java.time.Duration;
+import java.util.Locale;
 import org.parsleycart.decision.Outcome;
+import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.link.dialect.Dialect;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.JsonDocuments;
 
 /** Writes answers that come from the mesh itself. */
-final class Refusals {
+public final class Refusals {
   private static final String UNKNOWN_REASON = "no-whole-answer";
+  private static final HttpString RETRY_AFTER = new HttpString("Retry-After");
+  private static final double MILLISECONDS_PER_SECOND = 1000;
+
+  private final Dialect dialect;
+
+  // -- construction
 
-  private Refusals() {}
+  /** Creates the writer of answers to callers of the dialect. */
+  public Refusals(Dialect dialect) {
+    this.dialect = requireNonNull(dialect, "dialect is null");
+  }
+
+  // -- to callers
 
-  /** Tells a caller that its request did not run. */
-  static void notRun(HttpServerExchange exchange, String requestIdentifier, RefusalReason reason) {
+  /** Tells a caller that its request did not run, and when to come back. */
+  void notRun(
+      HttpServerExchange exchange,
+      String requestIdentifier,
+      RefusalReason reason,
+      Duration retryAfter) {
+    if (reason.isTemporary()) {
+      double seconds = retryAfter.toMillis() / MILLISECONDS_PER_SECOND;
+      exchange.getResponseHeaders().put(RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
+    }
     int status = reason.statusCode();
     toCaller(exchange, requestIdentifier, Outcome.NOT_RUN, status, reason.toString());
   }
 
   /** Tells a caller that its request may have run. */
-  static void unknown(HttpServerExchange exchange, String requestIdentifier, boolean late) {
+  void unknown(HttpServerExchange exchange, String requestIdentifier, boolean late) {
     int status = late ? StatusCodes.GATEWAY_TIME_OUT : StatusCodes.BAD_GATEWAY;
     toCaller(exchange, requestIdentifier, Outcome.UNKNOWN, status, UNKNOWN_REASON);
   }
 
-  private static void toCaller(
+  private void toCaller(
       HttpServerExchange exchange,
       String requestIdentifier,
       Outcome outcome,
       int status,
       String reason) {
+    if (dialect.isNamedByCaller()) {
+      HeaderMap headers = exchange.getResponseHeaders();
+      headers.put(dialect.headers().requestIdentifier(), requestIdentifier);
+      headers.put(Headers.CONTENT_LENGTH, 0);
+      exchange.setStatusCode(status);
+      exchange.endExchange();
+      return;
+    }
     String body =
         JsonDocuments.format(
             Document.mapping()
@@ -44,6 +79,18 @@
     exchange.getResponseSender().send(body);
   }
 
+  /** Marks an answer of an upstream for callers who look for headers of the mesh. */
+  void markAnswered(HttpServerExchange exchange, String requestIdentifier, String zone) {
+    if (!dialect.isNamedByCaller()) {
+      HeaderMap headers = exchange.getResponseHeaders();
+      headers.put(CallHeaders.REQUEST_IDENTIFIER, requestIdentifier);
+      headers.put(CallHeaders.OUTCOME, Outcome.ANSWERED.toString());
+      headers.put(CallHeaders.ZONE, zone);
+    }
+  }
+
+  // -- to daemons
+
   /** Tells another daemon how a call ended that has no answer. */
   static void toDaemon(
       HttpServerExchange exchange, String requestIdentifier, Outcome outcome, String reason) {
@@ -52,6 +99,11 @@
     exchange.endExchange();
   }
 
+  /** Tells another daemon the load of an upstream with whatever answer follows. */
+  static void putLoad(HttpServerExchange exchange, LoadReport load) {
+    exchange.getResponseHeaders().put(CallHeaders.LOAD, load.toString());
+  }
+
   private static void mark(
       HttpServerExchange exchange,
       String requestIdentifier,
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/WatchedSource.java
@@ -0,0 +1,222 @@
+package org.parsleycart.daemon.call;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.util.Optional;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitReadableByteChannel;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.ReadReadyHandler;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * The incoming bytes of a connection, read ahead while a request is answered, so that the end of
+ * the connection is noticed at once. The server itself reads nothing between a request and its
+ * answer.
+ *
+ * <p>Bytes read ahead belong to the next request and are handed to the server later; at most a
+ * buffer of them is held. Used by the input/output thread of the connection.
+ */
+final class WatchedSource extends AbstractStreamSourceConduit<StreamSourceConduit> {
+  private static final int READ_AHEAD_BYTES = 4096;
+
+  private ReadReadyHandler serverHandler;
+  private Optional<Runnable> onGone = Optional.empty();
+  private ByteBuffer ahead = ByteBuffer.allocate(0);
+  private boolean ended;
+  private boolean readsWanted;
+
+  // -- construction
+
+  private WatchedSource(ConduitStreamSourceChannel channel) {
+    super(channel.getConduit());
+    this.serverHandler = new ReadReadyHandler.ChannelListenerHandler<>(channel);
+    next.setReadReadyHandler(new Handler());
+  }
+
+  /** Puts itself between a new connection and the server. */
+  static void install(StreamConnection connection) {
+    ConduitStreamSourceChannel channel = connection.getSourceChannel();
+    channel.setConduit(new WatchedSource(channel));
+  }
+
+  /** Returns the source of the connection that carries an exchange, if it was installed there. */
+  static Optional<WatchedSource> of(HttpServerExchange exchange) {
+    return exchange.getConnection() instanceof AbstractServerConnection connection
+            && connection.getOriginalSourceConduit() instanceof WatchedSource source
+        ? Optional.of(source)
+        : Optional.empty();
+  }
+
+  // -- watching
+
+  /**
+   * Watches until the exchange ends; its request must have been read whole.
+   *
+   * @param exchange the exchange
+   * @param task runs once when the other side closes or resets the connection before that
+   */
+  static void watch(HttpServerExchange exchange, Runnable task) {
+    of(exchange)
+        .ifPresent(
+            source -> {
+              exchange.addExchangeCompleteListener(
+                  (ended, following) -> {
+                    source.unwatch();
+                    following.proceed();
+                  });
+              source.watch(task);
+            });
+  }
+
+  private void watch(Runnable task) {
+    onGone = Optional.of(task);
+    if (ended) {
+      tellGone();
+    } else {
+      next.resumeReads();
+    }
+  }
+
+  /** Ends the watch and gives the bytes read ahead to the server when it wants them. */
+  private void unwatch() {
+    onGone = Optional.empty();
+    if (readsWanted) {
+      resumeReads();
+    } else {
+      next.suspendReads();
+    }
+  }
+
+  private void readAhead() {
+    if (ahead.remaining() >= READ_AHEAD_BYTES) {
+      next.suspendReads();
+      return;
+    }
+    ByteBuffer buffer = ByteBuffer.allocate(READ_AHEAD_BYTES + ahead.remaining());
+    buffer.put(ahead);
+    try {
+      int count = next.read(buffer);
+      ended = count < 0;
+    } catch (IOException e) {
+      // A reset ends the connection like a close does.
+      ended = true;
+    }
+    buffer.flip();
+    ahead = buffer;
+    if (ended) {
+      next.suspendReads();
+      tellGone();
+    }
+  }
+
+  private void tellGone() {
+    Optional<Runnable> task = onGone;
+    onGone = Optional.empty();
+    task.ifPresent(Runnable::run);
+  }
+
+  // -- reading
+
+  @Override
+  public int read(ByteBuffer target) throws IOException {
+    if (ahead.hasRemaining()) {
+      int count = Math.min(ahead.remaining(), target.remaining());
+      ByteBuffer part = ahead.slice(ahead.position(), count);
+      target.put(part);
+      ahead.position(ahead.position() + count);
+      return count;
+    }
+    return ended ? -1 : next.read(target);
+  }
+
+  @Override
+  public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+    if (!ahead.hasRemaining() && !ended) {
+      return next.read(targets, offset, length);
+    }
+    long total = 0;
+    for (int index = offset; index < offset + length && ahead.hasRemaining(); index++) {
+      total += targets[index].hasRemaining() ? read(targets[index]) : 0;
+    }
+    return total == 0 && ended ? -1 : total;
+  }
+
+  @Override
+  public long transferTo(long position, long count, FileChannel target) throws IOException {
+    return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
+  }
+
+  @Override
+  public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target)
+      throws IOException {
+    return IoUtils.transfer(new ConduitReadableByteChannel(this), count, throughBuffer, target);
+  }
+
+  // -- readiness
+
+  @Override
+  public void resumeReads() {
+    readsWanted = true;
+    if (ahead.hasRemaining() || ended) {
+      next.wakeupReads();
+    } else {
+      next.resumeReads();
+    }
+  }
+
+  @Override
+  public void wakeupReads() {
+    readsWanted = true;
+    next.wakeupReads();
+  }
+
+  @Override
+  public void suspendReads() {
+    readsWanted = false;
+    if (onGone.isEmpty()) {
+      next.suspendReads();
+    }
+  }
+
+  @Override
+  public boolean isReadResumed() {
+    return readsWanted;
+  }
+
+  @Override
+  public void setReadReadyHandler(ReadReadyHandler handler) {
+    serverHandler = requireNonNull(handler, "handler is null");
+    next.setReadReadyHandler(new Handler());
+  }
+
+  /** Reads ahead while the connection is watched, and otherwise lets the server read. */
+  private final class Handler implements ReadReadyHandler {
+    @Override
+    public void readReady() {
+      if (onGone.isPresent()) {
+        readAhead();
+      } else {
+        serverHandler.readReady();
+      }
+    }
+
+    @Override
+    public void forceTermination() {
+      serverHandler.forceTermination();
+    }
+
+    @Override
+    public void terminated() {
+      serverHandler.terminated();
+    }
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DurableFacts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DurableFacts.java
@@ -13,7 +13,7 @@
 import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.model.ResourceKind;
 import org.parsleycart.model.Rollout;
-import org.parsleycart.store.ConfigurationStore;
+import org.parsleycart.store.ConfigurationAuthority;
 
 /**
  * Writes urgent facts into the configuration once the platform answers.
@@ -24,14 +24,14 @@
   private static final String AUTHOR = "parsleycart";
 
   private final MeshState state;
-  private final ConfigurationStore store;
+  private final ConfigurationAuthority authority;
 
   // -- construction
 
   /** Creates the writer. */
-  public DurableFacts(MeshState state, ConfigurationStore store) {
+  public DurableFacts(MeshState state, ConfigurationAuthority authority) {
     this.state = requireNonNull(state, "state is null");
-    this.store = requireNonNull(store, "store is null");
+    this.authority = requireNonNull(authority, "authority is null");
   }
 
   // -- operation
@@ -44,7 +44,7 @@
     state.facts().all().stream()
         .filter(fact -> isResponsible(view, fact))
         .flatMap(fact -> missingChange(fact).stream())
-        .forEach(change -> store.accept(change, Optional.empty()));
+        .forEach(change -> authority.accept(change, Optional.empty()));
   }
 
   private static boolean isResponsible(MembershipView view, UrgentFact fact) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/JudgingDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/JudgingDuty.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -21,10 +22,12 @@
 import org.parsleycart.decision.message.VersionLoad;
 import org.parsleycart.decision.rollout.RolloutDecision;
 import org.parsleycart.decision.rollout.RolloutJudge;
+import org.parsleycart.decision.routing.VersionSelector;
 import org.parsleycart.link.FrameClient;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
 import org.parsleycart.model.Rollout;
+import org.parsleycart.model.RolloutPhase;
 import org.parsleycart.model.Service;
 import org.tinylog.Logger;
 
@@ -101,6 +104,10 @@
       judged.remove(rollout.name());
       return;
     }
+    if (rollout.phase() == RolloutPhase.ORDERED) {
+      changes.begin(rollout, clock.instant());
+      return;
+    }
     RolloutJudge judge = judgeOf(configuration, rollout, service.get());
     observe(judge, service.get(), reporters);
     carryOut(rollout, service.get(), judge.decide(rollout, clock.instant()));
@@ -134,8 +141,13 @@
       return held.judge();
     }
     Logger.info("judging rollout {}", rollout.name());
+    VersionSelector oldVersions =
+        service
+            .version()
+            .map(VersionSelector::only)
+            .orElseGet(() -> VersionSelector.allBut(Set.of(rollout.version())));
     RolloutJudge judge =
-        new RolloutJudge(rollout, service.version(), route -> objective(configuration, route));
+        new RolloutJudge(rollout, oldVersions, route -> objective(configuration, route));
     judged.put(rollout.name(), new JudgedRollout(rollout.startedAt(), judge));
     return judge;
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
@@ -14,7 +14,7 @@
 import org.parsleycart.decision.spreading.PollSchedule;
 import org.parsleycart.decision.spreading.StartConfirmation;
 import org.parsleycart.link.BoundedRing;
-import org.parsleycart.store.ConfigurationStore;
+import org.parsleycart.store.ConfigurationAuthority;
 import org.parsleycart.store.PlatformError;
 import org.tinylog.Logger;
 
@@ -29,10 +29,13 @@
   private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
   private static final Duration ISOLATION_AFTER = Duration.ofSeconds(5);
   private static final Duration FACT_INTERVAL = Duration.ofSeconds(1);
-  private static final int RING_CAPACITY = 16;
+  private static final int RING_CAPACITY = 64;
+
+  /** How long a daemon that has just started waits for peers, which know the upstreams. */
+  private static final Duration ALONE_AT_START = Duration.ofSeconds(2);
 
   private final MeshState state;
-  private final ConfigurationStore store;
+  private final ConfigurationAuthority authority;
   private final GossipDuty gossip;
   private final PullDuty pulls;
   private final FirstPeers firstPeers;
@@ -48,13 +51,14 @@
   private Instant nextSynchronization;
   private Instant nextJoin;
   private Instant nextFacts;
+  private final Instant aloneUntil;
 
   // -- construction
 
   /** Creates the duty; {@link #start} starts its thread. */
   public PlatformDuty(
       MeshState state,
-      ConfigurationStore store,
+      ConfigurationAuthority authority,
       GossipDuty gossip,
       PullDuty pulls,
       FirstPeers firstPeers,
@@ -63,7 +67,7 @@
       InstantSource clock,
       RandomGenerator random) {
     this.state = requireNonNull(state, "state is null");
-    this.store = requireNonNull(store, "store is null");
+    this.authority = requireNonNull(authority, "authority is null");
     this.gossip = requireNonNull(gossip, "gossip is null");
     this.pulls = requireNonNull(pulls, "pulls is null");
     this.firstPeers = requireNonNull(firstPeers, "firstPeers is null");
@@ -76,6 +80,7 @@
     this.nextSynchronization = now;
     this.nextJoin = now;
     this.nextFacts = now;
+    this.aloneUntil = authority.isWaiting() ? now.plus(ALONE_AT_START) : now;
     this.loop = new DutyLoop("platform", this::step);
   }
 
@@ -96,8 +101,8 @@
     Instant now = clock.instant();
     joinWhenDue(now);
     synchronizeWhenDue(now);
-    if (schedule.isDue(now)) {
-      poll();
+    if (!authority.isWaiting() && schedule.isDue(now)) {
+      noteRead(authority.catchUp(Duration.ZERO));
     }
     confirm();
     updateIsolation(clock.instant());
@@ -140,8 +145,7 @@
     pulls.synchronize(others.get(random.nextInt(others.size())), view, true);
   }
 
-  private void poll() {
-    Either<PlatformError, Integer> result = store.catchUp();
+  private void noteRead(Either<PlatformError, Integer> result) {
     Instant now = clock.instant();
     schedule.polled(result.isRight(), state.isIsolated(), gossip.view().size(), now);
     if (result.isRight()) {
@@ -168,9 +172,15 @@
       return;
     }
     MembershipView view = gossip.view();
-    if (confirmation.isConfirmed(state.configuration().version(), view.size() - 1)) {
+    long version = state.configuration().version();
+    boolean nothingStated = authority.isWaiting() && version == 0;
+    boolean alone = view.size() == 1 && clock.instant().isBefore(aloneUntil);
+    if (nothingStated || alone) {
+      return;
+    }
+    if (confirmation.isConfirmed(version, view.size() - 1)) {
       state.setReady();
-      Logger.info("ready with configuration version {}", state.configuration().version());
+      Logger.info("ready with configuration version {}", version);
     }
   }
 
@@ -196,6 +206,11 @@
     return platformReachable;
   }
 
+  /** Takes what another duty read from the platform. */
+  void platformRead(Either<PlatformError, Integer> result) {
+    work.offer(() -> noteRead(result));
+  }
+
   /** Takes the head that a peer told while this daemon was starting. */
   public void peerHead(String peer, long version) {
     work.offer(() -> confirmation.peerAnswered(peer, version));
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/RolloutChanges.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/RolloutChanges.java
@@ -12,6 +12,7 @@
 import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.model.Resource;
 import org.parsleycart.model.Rollout;
+import org.parsleycart.model.RolloutPhase;
 import org.parsleycart.model.Service;
 
 /**
@@ -43,6 +44,13 @@
 
   // -- changes
 
+  /** Starts a rollout that was ordered. */
+  public void begin(Rollout rollout, Instant now) {
+    Rollout started =
+        rollout.withStart(now.toEpochMilli()).withPhase(RolloutPhase.PROGRESSING, "started");
+    write(rollout, "begin", List.of(started));
+  }
+
   /** Carries out a step forward. */
   public void step(Rollout rollout, RolloutDecision.Step decision) {
     write(rollout, "share-" + decision.sharePerMille(), List.of(decision.applyTo(rollout)));
@@ -55,8 +63,13 @@
 
   /** Puts the new version in charge. */
   public void complete(Rollout rollout, RolloutDecision.Complete decision, Service service) {
-    Service moved = service.withVersion(rollout.version());
-    write(rollout, "done", List.of(decision.applyTo(rollout), moved));
+    Rollout done = decision.applyTo(rollout);
+    // A service without a version in charge follows its last rollout.
+    List<Resource> upserts =
+        service.version().isPresent()
+            ? List.of(done, service.withVersion(rollout.version()))
+            : List.of(done);
+    write(rollout, "done", upserts);
   }
 
   /** Tells operators why a rollout stays, when that is news. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/Acceptance.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/Acceptance.java
@@ -7,26 +7,26 @@
 import org.parsleycart.daemon.control.GossipDuty;
 import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.store.AcceptanceError;
-import org.parsleycart.store.ConfigurationStore;
+import org.parsleycart.store.ConfigurationAuthority;
 
 /** Accepts changes and announces them to other daemons at once. */
 public final class Acceptance {
-  private final ConfigurationStore store;
+  private final ConfigurationAuthority authority;
   private final GossipDuty gossip;
 
   // -- construction
 
   /** Creates the acceptance. */
-  public Acceptance(ConfigurationStore store, GossipDuty gossip) {
-    this.store = requireNonNull(store, "store is null");
+  public Acceptance(ConfigurationAuthority authority, GossipDuty gossip) {
+    this.authority = requireNonNull(authority, "authority is null");
     this.gossip = requireNonNull(gossip, "gossip is null");
   }
 
   // -- operation
 
-  /** Accepts a change as {@link ConfigurationStore#accept} does, and spreads it. */
+  /** Accepts a change as {@link ConfigurationAuthority#accept} does, and spreads it. */
   public Either<AcceptanceError, Long> accept(ConfigurationChange change, Optional<Long> basedOn) {
-    return store
+    return authority
         .accept(change, basedOn)
         .peek(version -> gossip.submit((protocol, pulls) -> protocol.announce()));
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallMetrics.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallMetrics.java
@@ -18,6 +18,7 @@
   private final Counter retries;
   private final Counter localHops;
   private final Counter coldReturns;
+  private final Counter callersLeft;
 
   // -- construction
 
@@ -44,6 +45,10 @@
         Counter.builder("parsleycart.retries")
             .description("Attempts after the first")
             .register(registry);
+    callersLeft =
+        Counter.builder("parsleycart.callers.left")
+            .description("Calls whose caller closed its connection before the answer")
+            .register(registry);
     localHops =
         Counter.builder("parsleycart.local.hops")
             .description("Attempts to an upstream beside the entry")
@@ -76,6 +81,11 @@
     localHops.increment();
   }
 
+  /** Counts a call whose caller did not wait for the answer. */
+  public void callerLeft() {
+    callersLeft.increment();
+  }
+
   /** Counts a fall back to cold. */
   public void returnedToCold() {
     coldReturns.increment();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
@@ -16,6 +16,9 @@
  * @param replayableBodyBytes the largest request body held in memory so that it can be sent again
  * @param inputOutputThreads the threads that carry calls
  * @param drainTimeout how long a planned stop waits for running calls
+ * @param trustsSlots whether upstreams bear the slots that they announce from the start
+ * @param retriesPerCall the retries that a call to a service earns it
+ * @param savedRetries the most retries that a service saves up
  */
 public record DaemonLimits(
     int coldLimit,
@@ -25,8 +28,14 @@
     long maximumBodyBytes,
     int replayableBodyBytes,
     int inputOutputThreads,
-    Duration drainTimeout) {
+    Duration drainTimeout,
+    boolean trustsSlots,
+    double retriesPerCall,
+    double savedRetries) {
   private static final long MEBIBYTE = 1024 * 1024;
+  private static final double DEFAULT_RETRIES_PER_CALL = 0.1;
+  private static final double DEFAULT_SAVED_RETRIES = 20;
+  private static final double MOST_SAVED_RETRIES = 10_000;
 
   // -- construction
 
@@ -44,7 +53,10 @@
             reader.number("maximumBodyBytes", 1, 1024 * MEBIBYTE).orElse(16 * MEBIBYTE),
             number(reader, "replayableBodyBytes", 0, (int) MEBIBYTE, 64 * 1024),
             number(reader, "inputOutputThreads", 1, 64, 2),
-            reader.duration("drainTimeout").orElse(Duration.ofSeconds(20)));
+            reader.duration("drainTimeout").orElse(Duration.ofSeconds(20)),
+            reader.flag("trustsSlots").orElse(false),
+            reader.decimal("retriesPerCall", 0, 1).orElse(DEFAULT_RETRIES_PER_CALL),
+            reader.decimal("savedRetries", 0, MOST_SAVED_RETRIES).orElse(DEFAULT_SAVED_RETRIES));
     reader.finish();
     return limits;
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
@@ -20,6 +20,9 @@
  *
  * @param zone the availability zone
  * @param labels the labels that routes select daemons by
+ * @param dialect how callers, upstreams and operators speak
+ * @param upstreamService the service beside the daemon, if it is known beforehand
+ * @param zones the zones of the fleet, if they are known beforehand
  * @param addresses where it listens
  * @param platform the platform's address, or empty for the embedded platform
  * @param platformTimeout bounds each request to the platform
@@ -31,6 +34,9 @@
 public record DaemonSettings(
     String zone,
     Map<String, String> labels,
+    DialectName dialect,
+    Optional<String> upstreamService,
+    List<String> zones,
     ListenAddresses addresses,
     Optional<String> platform,
     Duration platformTimeout,
@@ -48,6 +54,9 @@
   public DaemonSettings {
     requireNonNull(zone, "zone is null");
     labels = Map.copyOf(labels);
+    requireNonNull(dialect, "dialect is null");
+    requireNonNull(upstreamService, "upstreamService is null");
+    zones = List.copyOf(zones);
     requireNonNull(addresses, "addresses is null");
     requireNonNull(platform, "platform is null");
     requireNonNull(platformTimeout, "platformTimeout is null");
@@ -75,6 +84,9 @@
         new DaemonSettings(
             reader.requiredName("zone"),
             reader.texts("labels"),
+            reader.constant("dialect", DialectName.class).orElse(DialectName.PARSLEYCART),
+            reader.text("upstreamService"),
+            reader.textItems("zones"),
             ListenAddresses.from(section(reader, "addresses", problems)),
             platformFrom(reader),
             reader.duration("platformTimeout").orElse(DEFAULT_PLATFORM_TIMEOUT),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ListenAddresses.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ListenAddresses.java
@@ -14,12 +14,14 @@
  * @param daemons for calls from other daemons, HTTP
  * @param control for control messages, TCP and UDP
  * @param operators for operators and for the upstreams beside it, HTTP
+ * @param readiness for checks of readiness, HTTP, if not where operators are served
  */
 public record ListenAddresses(
     InetSocketAddress callers,
     InetSocketAddress daemons,
     InetSocketAddress control,
-    InetSocketAddress operators) {
+    InetSocketAddress operators,
+    Optional<InetSocketAddress> readiness) {
 
   // -- construction
 
@@ -28,6 +30,7 @@
     requireNonNull(daemons, "daemons is null");
     requireNonNull(control, "control is null");
     requireNonNull(operators, "operators is null");
+    requireNonNull(readiness, "readiness is null");
   }
 
   static ListenAddresses from(MappingReader reader) {
@@ -36,7 +39,8 @@
             address(reader, "callers"),
             address(reader, "daemons"),
             address(reader, "control"),
-            address(reader, "operators"));
+            address(reader, "operators"),
+            reader.has("readiness") ? Optional.of(address(reader, "readiness")) : Optional.empty());
     reader.finish();
     return addresses;
   }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 
 /**
@@ -20,11 +21,18 @@
  * @param <C> the type of the caller's object
  */
 public final class AdmissionControl<C> {
+  /**
+   * How long an upstream that may have started again counts as cold without its saying so: two
+   * heartbeats at the usual pace of 1.5 s, after which it has told.
+   */
+  private static final Duration SUSPECTED_COLD = Duration.ofSeconds(3);
+
   private final AdmissionSettings settings;
   private final InstantSource clock;
   private final ConcurrencyLimit limit;
   private final PriorityQueue<WaitingCall<C>> queue = new PriorityQueue<>(WaitingCall.order());
   private Optional<RefusalReason> closed = Optional.empty();
+  private final ColdStart coldStart;
   private int running;
   private Instant coldSince;
 
@@ -34,8 +42,9 @@
   public AdmissionControl(AdmissionSettings settings, int slots, InstantSource clock) {
     this.settings = requireNonNull(settings, "settings is null");
     this.clock = requireNonNull(clock, "clock is null");
-    this.limit = ConcurrencyLimit.of(slots, settings.coldLimit());
+    this.limit = settings.newLimit(slots);
     this.coldSince = clock.instant();
+    this.coldStart = new ColdStart(OptionalDouble.empty(), coldSince);
   }
 
   // -- events
@@ -51,6 +60,9 @@
     if (closed.isPresent()) {
       return Admission.ofRefusal(call, closed.get());
     }
+    if (!coldStart.isOpen(clock.instant())) {
+      return Admission.ofRefusal(call, RefusalReason.COLD);
+    }
     if (cannotMeetDeadline(call, clock.instant().plus(expectedWait(call)))) {
       return Admission.ofRefusal(call, RefusalReason.DEADLINE);
     }
@@ -79,13 +91,39 @@
     return release();
   }
 
-  /** Takes note that a started call failed at the connection to the upstream. */
+  /** Takes note that a started call was not answered whole. */
   public synchronized Admission<C> failed() {
     limit.failed();
     coldSince = clock.instant();
     return release();
   }
 
+  /**
+   * Takes note that no connection to the upstream came about for a started call: it may be starting
+   * again and come back cold.
+   */
+  public synchronized Admission<C> unreachable() {
+    limit.unreachable();
+    coldSince = clock.instant();
+    coldStart.suspectColdUntil(coldSince.plus(SUSPECTED_COLD));
+    return release();
+  }
+
+  /**
+   * Takes note of how long the upstream says that it stays cold.
+   *
+   * @param remaining the time from now on
+   * @param callsPerSecond what it bears until then, or empty for no bound
+   */
+  public synchronized void setCold(Duration remaining, OptionalDouble callsPerSecond) {
+    Instant now = clock.instant();
+    coldStart.setCallsPerSecond(callsPerSecond);
+    coldStart.setColdUntil(now.plus(remaining));
+    if (!remaining.isZero()) {
+      coldSince = now;
+    }
+  }
+
   private void noteColdReturn(long returnsBefore) {
     if (limit.coldReturns() > returnsBefore) {
       coldSince = clock.instant();
@@ -138,6 +176,7 @@
       closed = Optional.empty();
       limit.restart();
       coldSince = clock.instant();
+      coldStart.suspectColdUntil(coldSince.plus(SUSPECTED_COLD));
     }
   }
 
@@ -150,12 +189,13 @@
   private List<WaitingCall<C>> startWaiting(List<Admission.Refused<C>> refused) {
     List<WaitingCall<C>> started = new ArrayList<>();
     Instant now = clock.instant();
-    while (running < limit.current() && !queue.isEmpty()) {
+    while (running < limit.current() && !queue.isEmpty() && coldStart.isOpen(now)) {
       WaitingCall<C> next = queue.poll();
       if (cannotMeetDeadline(next, now)) {
         refused.add(new Admission.Refused<>(next, RefusalReason.DEADLINE));
       } else {
         running++;
+        coldStart.started(now);
         started.add(next);
       }
     }
@@ -186,7 +226,9 @@
 
   /** Returns the load to report to entries. */
   public synchronized LoadReport load() {
-    return new LoadReport(running + queue.size(), limit.current(), limit.condition());
+    UpstreamCondition condition =
+        coldStart.isCold(clock.instant()) ? UpstreamCondition.COLD : limit.condition();
+    return new LoadReport(running + queue.size(), limit.current(), condition);
   }
 
   /** Returns when the upstream started or last fell back to cold. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionSettings.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionSettings.java
@@ -5,8 +5,10 @@
  *
  * @param coldLimit the calls that a cold upstream bears at once
  * @param queueLength the most calls that wait
+ * @param trustsSlots whether the announced slots are the limit from the start; otherwise the limit
+ *     is learnt, beginning at the cold limit
  */
-public record AdmissionSettings(int coldLimit, int queueLength) {
+public record AdmissionSettings(int coldLimit, int queueLength, boolean trustsSlots) {
 
   // -- construction
 
@@ -15,4 +17,15 @@
       throw new IllegalArgumentException("coldLimit must be at least 1, queueLength at least 0");
     }
   }
+
+  /** Creates bounds under which the limit is learnt. */
+  public AdmissionSettings(int coldLimit, int queueLength) {
+    this(coldLimit, queueLength, false);
+  }
+
+  // -- queries
+
+  ConcurrencyLimit newLimit(int slots) {
+    return trustsSlots ? new AnnouncedLimit(slots) : AdaptiveLimit.of(slots, coldLimit);
+  }
 }
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AnnouncedLimit.java
@@ -0,0 +1,73 @@
+package org.parsleycart.decision.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The slots that the upstream announces. What it bears while it is cold is bounded in calls a
+ * second elsewhere, so failures of single calls do not lower this limit.
+ */
+final class AnnouncedLimit implements ConcurrencyLimit {
+  /** The share of a new latency in the usual one: about the last ten answers count. */
+  private static final double LATENCY_WEIGHT = 0.1;
+
+  private final int slots;
+  private final Map<String, Double> usualNanoseconds = new HashMap<>();
+  private long coldReturns;
+
+  // -- construction
+
+  AnnouncedLimit(int slots) {
+    this.slots = slots;
+  }
+
+  // -- queries
+
+  @Override
+  public int current() {
+    return slots;
+  }
+
+  @Override
+  public UpstreamCondition condition() {
+    return UpstreamCondition.WARM;
+  }
+
+  @Override
+  public long coldReturns() {
+    return coldReturns;
+  }
+
+  @Override
+  public Duration usualLatency(String route) {
+    return Duration.ofNanos(usualNanoseconds.getOrDefault(route, 0.0).longValue());
+  }
+
+  // -- events
+
+  @Override
+  public void answered(String route, Duration latency, int running) {
+    requireNonNull(route, "route is null");
+    double sample = (double) latency.toNanos();
+    usualNanoseconds.merge(route, sample, (held, added) -> held + (added - held) * LATENCY_WEIGHT);
+  }
+
+  @Override
+  public void failed() {}
+
+  @Override
+  public void unreachable() {
+    coldReturns++;
+  }
+
+  @Override
+  public void shed() {}
+
+  @Override
+  public void restart() {
+    coldReturns++;
+  }
+}
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/ColdStart.java
@@ -0,0 +1,82 @@
+package org.parsleycart.decision.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.OptionalDouble;
+
+/**
+ * Bounds the calls that start at an upstream in any second while it is cold.
+ *
+ * <p>Starts are counted also while the upstream is warm, as it may have turned cold a moment before
+ * that is known. Used under the lock of its owner.
+ */
+final class ColdStart {
+  private static final Duration WINDOW = Duration.ofSeconds(1);
+
+  private final Deque<Instant> starts = new ArrayDeque<>();
+  private OptionalDouble callsPerSecond;
+  private Instant coldUntil;
+
+  // -- construction
+
+  /**
+   * Creates the bound of an upstream that is warm.
+   *
+   * @param callsPerSecond what a cold upstream bears, or empty for no bound
+   * @param now the time
+   */
+  ColdStart(OptionalDouble callsPerSecond, Instant now) {
+    this.callsPerSecond = requireNonNull(callsPerSecond, "callsPerSecond is null");
+    this.coldUntil = requireNonNull(now, "now is null");
+  }
+
+  // -- queries
+
+  boolean isCold(Instant now) {
+    return now.isBefore(coldUntil);
+  }
+
+  /** Returns whether one more call may start now. */
+  boolean isOpen(Instant now) {
+    forgetOld(now);
+    return !isCold(now) || callsPerSecond.isEmpty() || starts.size() + 1 <= bound();
+  }
+
+  private double bound() {
+    return Math.max(1, callsPerSecond.orElse(Double.MAX_VALUE));
+  }
+
+  // -- events
+
+  /** Sets what a cold upstream bears. */
+  void setCallsPerSecond(OptionalDouble newCallsPerSecond) {
+    callsPerSecond = requireNonNull(newCallsPerSecond, "newCallsPerSecond is null");
+  }
+
+  /** Takes note that the upstream is cold up to a time, as it said itself. */
+  void setColdUntil(Instant until) {
+    coldUntil = requireNonNull(until, "until is null");
+  }
+
+  /** Takes note that the upstream may have become cold, at least up to a time. */
+  void suspectColdUntil(Instant until) {
+    coldUntil = until.isAfter(coldUntil) ? until : coldUntil;
+  }
+
+  /** Takes note of a call that starts. */
+  void started(Instant now) {
+    forgetOld(now);
+    starts.addLast(now);
+  }
+
+  private void forgetOld(Instant now) {
+    Instant oldest = now.minus(WINDOW);
+    while (!starts.isEmpty() && starts.peekFirst().isBefore(oldest)) {
+      starts.removeFirst();
+    }
+  }
+}
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -12,12 +12,16 @@
   ZONE_WITHDRAWN("zone-withdrawn", 503, true),
   ISOLATED("isolated", 503),
   QUEUE_FULL("queue-full", 503),
-  DEADLINE("deadline", 504),
+  COLD("cold", 503, true),
+  REFUSED_BY_UPSTREAM("refused-by-upstream", 503),
+  DEADLINE("deadline", 503),
   NOT_READY("not-ready", 503),
   UNREACHABLE("unreachable", 503),
   BAD_REQUEST("bad-request", 400),
   TOO_LARGE("too-large", 413);
 
+  private static final int TEMPORARILY_UNAVAILABLE = 503;
+
   private final String label;
   private final int statusCode;
   private final boolean elsewhere;
@@ -45,6 +49,11 @@
     return elsewhere;
   }
 
+  /** Returns whether the same request may be served a little later. */
+  public boolean isTemporary() {
+    return statusCode == TEMPORARILY_UNAVAILABLE;
+  }
+
   /** Returns the reason with the given label; empty also for no label. */
   public static Optional<RefusalReason> ofLabel(String label) {
     return Stream.of(values()).filter(reason -> reason.label.equals(label)).findFirst();
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/WaitingCall.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/WaitingCall.java
@@ -10,27 +10,33 @@
  * A call that asks to run at an upstream.
  *
  * @param call the caller's own object
- * @param kind the kind of request
+ * @param rank the place in the queue; smaller runs first
  * @param route the name of the route
+ * @param objective the time up to which an answer is worth most
  * @param deadline when an answer is of no use any more
  * @param <C> the type of the caller's object
  */
-public record WaitingCall<C>(C call, RequestKind kind, String route, Instant deadline) {
+public record WaitingCall<C>(C call, int rank, String route, Instant objective, Instant deadline) {
 
   // -- construction
 
   public WaitingCall {
     requireNonNull(call, "call is null");
-    requireNonNull(kind, "kind is null");
     requireNonNull(route, "route is null");
+    requireNonNull(objective, "objective is null");
     requireNonNull(deadline, "deadline is null");
   }
 
+  /** Creates a call whose rank its kind implies and whose objective is its deadline. */
+  public WaitingCall(C call, RequestKind kind, String route, Instant deadline) {
+    this(call, kind.priority(), route, deadline, deadline);
+  }
+
   // -- queries
 
-  /** Returns the order of the queue: by priority of the kind, then by deadline. */
+  /** Returns the order of the queue: by rank, then by deadline. */
   static <C> Comparator<WaitingCall<C>> order() {
-    return Comparator.<WaitingCall<C>>comparingInt(each -> each.kind().priority())
+    return Comparator.<WaitingCall<C>>comparingInt(WaitingCall::rank)
         .thenComparing(WaitingCall::deadline);
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RolloutJudge.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/rollout/RolloutJudge.java
@@ -17,6 +17,7 @@
 import java.util.function.Function;
 import org.parsleycart.decision.message.CallCounts;
 import org.parsleycart.decision.message.VersionLoad;
+import org.parsleycart.decision.routing.VersionSelector;
 import org.parsleycart.model.Rollout;
 import org.parsleycart.model.RolloutPhase;
 
@@ -37,7 +38,7 @@
   private static final String ALL_ROUTES = "all routes";
 
   private final Rollout rollout;
-  private final String oldVersion;
+  private final VersionSelector oldVersions;
   private final Function<String, Duration> objectives;
   private final RolloutSchedule schedule;
   private final Map<String, RouteEvidence> routes = new TreeMap<>();
@@ -57,12 +58,13 @@
    * Creates a judge that has seen nothing.
    *
    * @param rollout the rollout
-   * @param oldVersion the version in charge
+   * @param oldVersions the versions in charge
    * @param objectives gives the latency objective of a route
    */
-  public RolloutJudge(Rollout rollout, String oldVersion, Function<String, Duration> objectives) {
+  public RolloutJudge(
+      Rollout rollout, VersionSelector oldVersions, Function<String, Duration> objectives) {
     this.rollout = requireNonNull(rollout, "rollout is null");
-    this.oldVersion = requireNonNull(oldVersion, "oldVersion is null");
+    this.oldVersions = requireNonNull(oldVersions, "oldVersions is null");
     this.objectives = requireNonNull(objectives, "objectives is null");
     this.schedule = RolloutSchedule.of(rollout);
   }
@@ -88,7 +90,7 @@
     readings.forEach(
         (daemon, counts) -> counts.forEach(each -> fresh.add(sinceLast(daemon, each))));
     knownDaemons.addAll(readings.keySet());
-    fresh.stream().filter(each -> each.version().equals(oldVersion)).forEach(this::addOld);
+    fresh.stream().filter(each -> oldVersions.matches(each.version())).forEach(this::addOld);
     fresh.stream().filter(each -> each.version().equals(rollout.version())).forEach(this::addNew);
   }
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
@@ -15,56 +15,92 @@
  * along a chain of calls.
  */
 public final class RetryPolicy {
+  /** Below this time another attempt is not worth its cost: about two hops and a short answer. */
   private static final Duration SHORTEST_USEFUL_TIME = Duration.ofMillis(5);
 
-  private final RetryBudget budget;
+  /** Daemons that say that an upstream has moved away; more would mean that nobody knows better. */
+  private static final int MOST_MOVES = 6;
+
+  /** Daemons that say that they have no room; a third is unlikely to have it either. */
+  private static final int MOST_OVERLOADED = 2;
+
+  private final RetryBudgets retries;
+  private final RetryBudgets detours;
 
   // -- construction
 
-  /** Creates a policy on the given budget. */
+  /** Creates a policy on one budget for all services. */
   public RetryPolicy(RetryBudget budget) {
-    this.budget = requireNonNull(budget, "budget is null");
+    this(RetryBudgets.shared(budget), RetryBudgets.forDetours());
+  }
+
+  /**
+   * Creates a policy.
+   *
+   * @param retries bounds what reaches an upstream beyond the first attempt
+   * @param detours bounds what is sent to another daemon after one had no room
+   */
+  public RetryPolicy(RetryBudgets retries, RetryBudgets detours) {
+    this.retries = requireNonNull(retries, "retries is null");
+    this.detours = requireNonNull(detours, "detours is null");
   }
 
   // -- events
 
-  /** Takes note of the first attempt of a call, which earns a share of a retry. */
-  public void called() {
-    budget.called();
+  /** Takes note of the first attempt of a call to a service, which earns a share of a retry. */
+  public void called(String service) {
+    retries.of(service).called();
+    detours.of(service).called();
   }
 
   // -- decision
 
   /**
-   * Returns whether to try again, and takes the retry from the budget.
+   * Returns whether to try again after an attempt that reached an upstream, and takes the retry
+   * from the budget.
    *
+   * @param service the service called
    * @param contract the contract of the route
-   * @param attempts how often the call was tried
+   * @param attempts how many upstreams the call has reached
    * @param outcome the outcome of the last attempt
    * @param remaining the time until the deadline
    */
-  public boolean tryAgain(Contract contract, int attempts, Outcome outcome, Duration remaining) {
+  public boolean tryAgain(
+      String service, Contract contract, int attempts, Outcome outcome, Duration remaining) {
     requireNonNull(contract, "contract is null");
     return outcome.mayRetry(contract.requestKind())
         && isWithinBounds(contract, attempts, remaining)
-        && budget.take();
+        && retries.of(service).take();
   }
 
   /**
-   * Returns whether to try again after a refusal. When the refusal says that the call belongs
-   * elsewhere it is no sign of overload, and the budget is not charged.
+   * Returns whether to send a call elsewhere that no upstream has seen. When the refusal says that
+   * the upstream has moved away it is no sign of overload, and no budget is charged.
    *
-   * @param contract the contract of the route
-   * @param attempts how often the call was tried
+   * @param service the service called
+   * @param refusals how often the call was refused before it reached an upstream
    * @param reason why it was refused
    * @param remaining the time until the deadline
    */
-  public boolean tryAgainAfterRefusal(
-      Contract contract, int attempts, RefusalReason reason, Duration remaining) {
+  public boolean sendElsewhere(
+      String service, int refusals, RefusalReason reason, Duration remaining) {
     requireNonNull(reason, "reason is null");
+    if (remaining.compareTo(SHORTEST_USEFUL_TIME) <= 0) {
+      return false;
+    }
     return reason.meansElsewhere()
-        ? isWithinBounds(contract, attempts, remaining)
-        : tryAgain(contract, attempts, Outcome.NOT_RUN, remaining);
+        ? refusals < MOST_MOVES
+        : refusals <= MOST_OVERLOADED && detours.of(service).take();
+  }
+
+  /**
+   * Returns whether an answer that says that the upstream failed is worth another attempt. The
+   * budget is charged only when that attempt is made.
+   */
+  public boolean mayRetryFailedAnswer(
+      String service, Contract contract, int attempts, Duration remaining) {
+    requireNonNull(contract, "contract is null");
+    return isWithinBounds(contract, attempts, remaining) && retries.of(service).isAvailable();
   }
 
   private static boolean isWithinBounds(Contract contract, int attempts, Duration remaining) {
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamDirectory.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamDirectory.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.parsleycart.decision.membership.MemberRecord;
@@ -21,9 +22,12 @@
   private static final UpstreamDirectory EMPTY = new UpstreamDirectory(Map.of());
 
   private final Map<Key, CandidatePool> pools;
+  private final Map<Selection, CandidatePool> selections = new ConcurrentHashMap<>();
 
   private record Key(String service, String version) {}
 
+  private record Selection(String service, VersionSelector versions) {}
+
   // -- construction
 
   private UpstreamDirectory(Map<Key, CandidatePool> pools) {
@@ -86,6 +90,28 @@
     return pools.getOrDefault(new Key(service, version), CandidatePool.empty());
   }
 
+  /** Returns the upstreams of the selected versions of a service; the pools are kept. */
+  public CandidatePool pool(String service, VersionSelector versions) {
+    requireNonNull(service, "service is null");
+    requireNonNull(versions, "versions is null");
+    if (versions instanceof VersionSelector.Only only) {
+      return pool(service, only.version());
+    }
+    return selections.computeIfAbsent(new Selection(service, versions), this::gather);
+  }
+
+  private CandidatePool gather(Selection selection) {
+    List<CandidatePool> matching =
+        pools.entrySet().stream()
+            .filter(entry -> entry.getKey().service().equals(selection.service()))
+            .filter(entry -> selection.versions().matches(entry.getKey().version()))
+            .map(Map.Entry::getValue)
+            .toList();
+    return new CandidatePool(
+        matching.stream().flatMap(pool -> pool.near().stream()).toList(),
+        matching.stream().flatMap(pool -> pool.far().stream()).toList());
+  }
+
   /** Returns all upstreams. */
   public Stream<Candidate> all() {
     return pools.values().stream().flatMap(CandidatePool::all);
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/VersionChoice.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/VersionChoice.java
@@ -11,18 +11,18 @@
 import org.parsleycart.model.Service;
 
 /**
- * The version that takes a call and the one that may stand in for it.
+ * The versions that may take a call and those that may stand in for them.
  *
- * @param version the version chosen by share
- * @param standIn the version to use when the chosen one has no upstream; the new version of a
+ * @param versions the versions chosen by share
+ * @param standIn the versions to use when the chosen ones have no upstream; the new version of a
  *     rollout never stands in for the old one before it has the full share
  */
-public record VersionChoice(String version, Optional<String> standIn) {
+public record VersionChoice(VersionSelector versions, Optional<VersionSelector> standIn) {
 
   // -- construction
 
   public VersionChoice {
-    requireNonNull(version, "version is null");
+    requireNonNull(versions, "versions is null");
     requireNonNull(standIn, "standIn is null");
   }
 
@@ -41,15 +41,41 @@
             .activeRollout(service.name())
             .filter(each -> facts.condemnation(each).isEmpty());
     if (rollout.isEmpty()) {
-      return new VersionChoice(service.version(), Optional.empty());
+      return withoutRollout(configuration, service);
     }
     Rollout active = rollout.get();
+    VersionSelector newVersion = VersionSelector.only(active.version());
+    VersionSelector oldVersion = inCharge(configuration, service);
     boolean isNew = random.nextInt(Rollout.FULL_SHARE_PER_MILLE) < active.sharePerMille();
     if (isNew) {
-      return new VersionChoice(active.version(), Optional.of(service.version()));
+      return new VersionChoice(newVersion, Optional.of(oldVersion));
     }
-    Optional<String> standIn =
-        active.phase() == RolloutPhase.SOAKING ? Optional.of(active.version()) : Optional.empty();
-    return new VersionChoice(service.version(), standIn);
+    boolean mayStandIn = active.phase() == RolloutPhase.SOAKING;
+    return new VersionChoice(oldVersion, mayStandIn ? Optional.of(newVersion) : Optional.empty());
+  }
+
+  private static VersionChoice withoutRollout(Configuration configuration, Service service) {
+    VersionSelector inCharge = inCharge(configuration, service);
+    return movedTo(configuration, service)
+        .filter(moved -> service.version().isEmpty())
+        .map(moved -> new VersionChoice(VersionSelector.only(moved), Optional.of(inCharge)))
+        .orElseGet(() -> new VersionChoice(inCharge, Optional.empty()));
+  }
+
+  /** Returns the version that the last rollout of the service brought into charge. */
+  private static Optional<String> movedTo(Configuration configuration, Service service) {
+    return configuration.rollouts().stream()
+        .filter(each -> each.phase() == RolloutPhase.DONE)
+        .filter(each -> each.target(configuration).equals(Optional.of(service)))
+        .map(Rollout::version)
+        .findFirst();
+  }
+
+  /** Returns the version in charge, or all that no rollout holds back when none is. */
+  private static VersionSelector inCharge(Configuration configuration, Service service) {
+    return service
+        .version()
+        .map(VersionSelector::only)
+        .orElseGet(() -> VersionSelector.allBut(configuration.heldBackVersions(service.name())));
   }
 }
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/VersionSelector.java
@@ -0,0 +1,50 @@
+package org.parsleycart.decision.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Set;
+
+/** Which versions of a service may take a call. */
+public sealed interface VersionSelector {
+
+  // -- construction
+
+  /** Returns the selector of one version. */
+  static VersionSelector only(String version) {
+    return new Only(version);
+  }
+
+  /** Returns the selector of all versions but those given. */
+  static VersionSelector allBut(Set<String> versions) {
+    return new AllBut(versions);
+  }
+
+  // -- queries
+
+  /** Returns whether the version may take the call. */
+  boolean matches(String version);
+
+  /** One version. */
+  record Only(String version) implements VersionSelector {
+    public Only {
+      requireNonNull(version, "version is null");
+    }
+
+    @Override
+    public boolean matches(String candidate) {
+      return version.equals(candidate);
+    }
+  }
+
+  /** All versions but some. */
+  record AllBut(Set<String> versions) implements VersionSelector {
+    public AllBut {
+      versions = Set.copyOf(versions);
+    }
+
+    @Override
+    public boolean matches(String candidate) {
+      return !versions.contains(candidate);
+    }
+  }
+}
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
@@ -26,6 +26,7 @@
   static final int KEPT_CHANGES = 256;
 
   private volatile State state;
+  private volatile long knownThrough;
 
   private record State(Configuration configuration, Digest digest, List<VersionedChange> changes) {}
 
@@ -82,6 +83,11 @@
             head, List.of(), Optional.of(SnapshotBytes.of(now.configuration().toBytes())));
   }
 
+  /** Returns the version up to which the platform was read here, whether or not it changed. */
+  public long knownThrough() {
+    return Math.max(knownThrough, state.configuration().version());
+  }
+
   private static Head headOf(State state) {
     String digest = state.digest().hexadecimal().substring(0, Head.DIGEST_DIGITS);
     return new Head(state.configuration().version(), digest);
@@ -111,6 +117,29 @@
     return Either.right(applied);
   }
 
+  /**
+   * Takes a version that another writer stated as a whole.
+   *
+   * @param stated the version
+   * @param readThrough the version up to which the platform was read; what peers hold up to there
+   *     is no news
+   * @return whether it took effect; false when it is not above the version in force
+   */
+  public synchronized boolean adopt(Configuration stated, long readThrough) {
+    requireNonNull(stated, "stated is null");
+    boolean isNews = stated.version() > state.configuration().version();
+    if (isNews) {
+      state = new State(stated, stated.digest(), List.of());
+    }
+    noteRead(readThrough);
+    return isNews;
+  }
+
+  /** Takes note that the platform was read up to a version and held nothing new. */
+  public synchronized void noteRead(long readThrough) {
+    knownThrough = Math.max(knownThrough, readThrough);
+  }
+
   /**
    * Takes one accepted change.
    *
@@ -158,7 +187,7 @@
         Configuration.from(bytes).mapLeft(SpreadingError.Unreadable::new);
     return parsed.map(
         configuration -> {
-          if (configuration.version() <= state.configuration().version()) {
+          if (configuration.version() <= knownThrough()) {
             return 0;
           }
           state = new State(configuration, digest, List.of());
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
 import org.parsleycart.decision.message.Head;
@@ -34,6 +35,7 @@
 
   private final String self;
   private final RandomGenerator random;
+  private final LongSupplier knownThrough;
   private final Map<String, Head> peersAhead = new HashMap<>();
   private Optional<Pull> inFlight = Optional.empty();
   private Instant notBefore = Instant.MIN;
@@ -46,15 +48,27 @@
 
   /** Creates a planner for the daemon with the given identifier. */
   public PullPlanner(String self, RandomGenerator random) {
+    this(self, random, () -> 0);
+  }
+
+  /**
+   * Creates a planner for a daemon that also reads the platform itself.
+   *
+   * @param self the identifier of the daemon
+   * @param random the source of choices
+   * @param knownThrough gives the version up to which nothing is missing, whatever peers announce
+   */
+  public PullPlanner(String self, RandomGenerator random, LongSupplier knownThrough) {
     this.self = requireNonNull(self, "self is null");
     this.random = requireNonNull(random, "random is null");
+    this.knownThrough = requireNonNull(knownThrough, "knownThrough is null");
   }
 
   // -- events
 
   /** Notes the head that a peer announced. */
   public void noteHead(String peer, Head head, Head own) {
-    boolean ahead = head.version() > own.version();
+    boolean ahead = head.version() > Math.max(own.version(), knownThrough.getAsLong());
     boolean diverged = head.version() == own.version() && !head.digest().equals(own.digest());
     if (!ahead && !diverged) {
       peersAhead.remove(peer);
@@ -91,7 +105,8 @@
     inFlight
         .filter(pull -> pull.startedAt().plus(PULL_TIMEOUT).isBefore(now))
         .ifPresent(pull -> noteFailure(now));
-    peersAhead.values().removeIf(head -> head.version() <= own.version());
+    long known = Math.max(own.version(), knownThrough.getAsLong());
+    peersAhead.values().removeIf(head -> head.version() <= known);
     if (inFlight.isPresent() || peersAhead.isEmpty() || now.isBefore(notBefore)) {
       return Optional.empty();
     }
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/rollout/RolloutJudgeTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/rollout/RolloutJudgeTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.parsleycart.decision.message.CallCounts;
 import org.parsleycart.decision.message.VersionLoad;
+import org.parsleycart.decision.routing.VersionSelector;
 import org.parsleycart.model.Rollout;
 import org.parsleycart.model.RolloutPhase;
 import org.parsleycart.model.Selector;
@@ -51,7 +52,8 @@
               0,
               RolloutPhase.PROGRESSING,
               "");
-      judge = new RolloutJudge(rollout, "v1", route -> Duration.ofMillis(500));
+      judge =
+          new RolloutJudge(rollout, VersionSelector.only("v1"), route -> Duration.ofMillis(500));
     }
 
     void step() {
@@ -232,7 +234,9 @@
   void shouldOnlyTakeLongerWhenAnotherJudgeStartsAnew() {
     Trial trial = new Trial(10, Duration.ofMinutes(2));
     trial.run(Duration.ofSeconds(50));
-    trial.judge = new RolloutJudge(trial.rollout, "v1", route -> Duration.ofMillis(500));
+    trial.judge =
+        new RolloutJudge(
+            trial.rollout, VersionSelector.only("v1"), route -> Duration.ofMillis(500));
 
     trial.run(Duration.ofMinutes(2));
 
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingTest.java
@@ -212,7 +212,7 @@
       Service service = configuration.service("ledger").orElseThrow();
       return IntStream.range(0, 10_000)
           .mapToObj(draw -> VersionChoice.of(configuration, service, facts, random))
-          .filter(choice -> choice.version().equals("v2"))
+          .filter(choice -> choice.versions().matches("v2"))
           .count();
     }
 
@@ -262,7 +262,7 @@
     void shouldRetryOnlyWhatMayRunAgain(Outcome outcome, RequestKind kind, boolean expected) {
       RetryPolicy policy = new RetryPolicy(new RetryBudget());
 
-      assertThat(policy.tryAgain(contract(kind), 1, outcome, Duration.ofMillis(500)))
+      assertThat(policy.tryAgain("ledger", contract(kind), 1, outcome, Duration.ofMillis(500)))
           .isEqualTo(expected);
     }
 
@@ -271,8 +271,10 @@
       RetryPolicy policy = new RetryPolicy(new RetryBudget());
       Contract contract = contract(RequestKind.INTERACTIVE_READ);
 
-      assertThat(policy.tryAgain(contract, 3, Outcome.NOT_RUN, Duration.ofMillis(500))).isFalse();
-      assertThat(policy.tryAgain(contract, 1, Outcome.NOT_RUN, Duration.ofMillis(2))).isFalse();
+      assertThat(policy.tryAgain("ledger", contract, 3, Outcome.NOT_RUN, Duration.ofMillis(500)))
+          .isFalse();
+      assertThat(policy.tryAgain("ledger", contract, 1, Outcome.NOT_RUN, Duration.ofMillis(2)))
+          .isFalse();
     }
 
     @ParameterizedTest
@@ -286,12 +288,10 @@
     void shouldNotChargeTheBudgetWhenTheUpstreamHasMovedAway(
         RefusalReason reason, boolean unbounded) {
       RetryPolicy policy = new RetryPolicy(new RetryBudget());
-      Contract contract = contract(RequestKind.NON_IDEMPOTENT_WRITE);
 
       long retries =
           IntStream.range(0, 1000)
-              .filter(
-                  call -> policy.tryAgainAfterRefusal(contract, 1, reason, Duration.ofMillis(500)))
+              .filter(call -> policy.sendElsewhere("ledger", 1, reason, Duration.ofMillis(500)))
               .count();
 
       assertThat(retries == 1000).isEqualTo(unbounded);
@@ -306,8 +306,9 @@
           IntStream.range(0, 10_000)
               .filter(
                   call -> {
-                    policy.called();
-                    return policy.tryAgain(contract, 1, Outcome.NOT_RUN, Duration.ofMillis(500));
+                    policy.called("ledger");
+                    return policy.tryAgain(
+                        "ledger", contract, 1, Outcome.NOT_RUN, Duration.ofMillis(500));
                   })
               .count();
 
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -7,6 +7,8 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,6 +45,7 @@
   private final RouteIndex routeIndex;
   private final Set<String> withdrawnZones;
   private final Map<String, Rollout> activeRollouts;
+  private final Map<String, Set<String>> heldBackVersions;
 
   /**
    * The version that a change became.
@@ -66,6 +69,7 @@
     this.routeIndex = RouteIndex.of(routes());
     this.withdrawnZones = findWithdrawnZones();
     this.activeRollouts = findActiveRollouts();
+    this.heldBackVersions = findHeldBackVersions();
   }
 
   /** Returns version 0, which holds nothing. */
@@ -110,6 +114,24 @@
         : Either.left(problems);
   }
 
+  /**
+   * Builds a version that another writer stated as a whole.
+   *
+   * @param version the version, at least 1
+   * @param stated the resources; of two with one kind and name the later counts
+   * @return the version, or every violation in it
+   */
+  public static Either<List<Violation>, Configuration> of(
+      long version, Collection<? extends Resource> stated) {
+    requireNonNull(stated, "stated is null");
+    Map<ResourceKind, SortedMap<String, Resource>> resources = new EnumMap<>(ResourceKind.class);
+    stated.forEach(resource -> put(resources, resource));
+    Configuration result = new Configuration(version, resources, List.of(), Map.of());
+    List<Violation> violations =
+        result.all().flatMap(resource -> resource.violations(result)).toList();
+    return violations.isEmpty() ? Either.right(result) : Either.left(violations);
+  }
+
   /**
    * Applies a change as a whole.
    *
@@ -184,6 +206,22 @@
     return Collections.unmodifiableMap(found);
   }
 
+  private Map<String, Set<String>> findHeldBackVersions() {
+    Map<String, Set<String>> found = new HashMap<>();
+    rollouts().stream()
+        .filter(rollout -> rollout.phase().isHoldingBack())
+        .forEach(
+            rollout ->
+                rollout
+                    .target(this)
+                    .ifPresent(
+                        service ->
+                            found
+                                .computeIfAbsent(service.name(), unused -> new HashSet<>())
+                                .add(rollout.version())));
+    return found;
+  }
+
   // -- queries
 
   /** Returns the version, counted from 1; 0 is the empty configuration. */
@@ -199,9 +237,21 @@
         .findFirst();
   }
 
-  /** Returns the route with the longest prefix that covers the path, for the given daemon. */
+  /** Returns the route of any host with the longest prefix that covers the path. */
   public Optional<Route> routeFor(String path, Map<String, String> daemonLabels) {
-    return routeIndex.find(path, daemonLabels);
+    return routeFor(Optional.empty(), path, daemonLabels);
+  }
+
+  /**
+   * Returns the route with the longest prefix that covers the path, for the given daemon.
+   *
+   * @param host the host that the request names, without its port
+   * @param path the path of the request
+   * @param daemonLabels the labels of the daemon that took the request
+   */
+  public Optional<Route> routeFor(
+      Optional<String> host, String path, Map<String, String> daemonLabels) {
+    return routeIndex.find(host, path, daemonLabels);
   }
 
   /** Returns the first route by name that has the prefix and the daemons of the given one. */
@@ -229,6 +279,11 @@
     return Optional.ofNullable(activeRollouts.get(service));
   }
 
+  /** Returns the versions of a service that take no calls but those a rollout gives them. */
+  public Set<String> heldBackVersions(String service) {
+    return heldBackVersions.getOrDefault(service, Set.of());
+  }
+
   /** Returns the service with the given name. */
   public Optional<Service> service(String name) {
     return find(ResourceKind.SERVICE, name, Service.class);
@@ -241,8 +296,12 @@
 
   /** Returns the contract of the route with the given name. */
   public Optional<Contract> contractOfRoute(String routeName) {
-    return find(ResourceKind.ROUTE, routeName, Route.class)
-        .flatMap(route -> contract(route.contract()));
+    return route(routeName).flatMap(route -> contract(route.contract()));
+  }
+
+  /** Returns the route with the given name. */
+  public Optional<Route> route(String name) {
+    return find(ResourceKind.ROUTE, name, Route.class);
   }
 
   /** Returns the rollout with the given name. */
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Contract.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Contract.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.OptionalInt;
 import java.util.stream.Stream;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.Durations;
@@ -15,18 +16,21 @@
  * @param requestKind the nature of the requests
  * @param deadline the time after which an answer is of no use
  * @param latencyObjective the time above which an answer counts as slow
- * @param maximumAttempts the most times that one call is tried, at least 1
+ * @param maximumAttempts the most upstreams that one call is sent to, at least 1
+ * @param rank the place in queues, smaller first, in place of the one that the kind implies
  */
 public record Contract(
     String name,
     RequestKind requestKind,
     Duration deadline,
     Duration latencyObjective,
-    int maximumAttempts)
+    int maximumAttempts,
+    OptionalInt rank)
     implements Resource {
   private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(2);
   private static final long MAXIMUM_ATTEMPTS = 5;
   private static final long DEFAULT_ATTEMPTS = 3;
+  private static final long LARGEST_RANK = 1000;
   private static final Duration LONGEST_DEADLINE = Duration.ofMinutes(5);
 
   // -- construction
@@ -36,6 +40,17 @@
     requireNonNull(requestKind, "requestKind is null");
     requireNonNull(deadline, "deadline is null");
     requireNonNull(latencyObjective, "latencyObjective is null");
+    requireNonNull(rank, "rank is null");
+  }
+
+  /** Creates a contract whose calls stand in queues as their kind implies. */
+  public Contract(
+      String name,
+      RequestKind requestKind,
+      Duration deadline,
+      Duration latencyObjective,
+      int maximumAttempts) {
+    this(name, requestKind, deadline, latencyObjective, maximumAttempts, OptionalInt.empty());
   }
 
   static Contract from(MappingReader reader) {
@@ -45,7 +60,8 @@
         kindFrom(reader),
         deadline,
         reader.duration("latencyObjective").orElse(deadline),
-        reader.number("maximumAttempts", 1, MAXIMUM_ATTEMPTS).orElse(DEFAULT_ATTEMPTS).intValue());
+        reader.number("maximumAttempts", 1, MAXIMUM_ATTEMPTS).orElse(DEFAULT_ATTEMPTS).intValue(),
+        reader.number("rank", 0, LARGEST_RANK).stream().mapToInt(Long::intValue).findFirst());
   }
 
   private static RequestKind kindFrom(MappingReader reader) {
@@ -55,6 +71,13 @@
     return reader.constant("kind", RequestKind.class).orElse(RequestKind.NON_IDEMPOTENT_WRITE);
   }
 
+  // -- queries
+
+  /** Returns the place in queues; smaller runs first. */
+  public int queueRank() {
+    return rank.orElse(requestKind.priority());
+  }
+
   // -- Resource
 
   @Override
@@ -64,13 +87,15 @@
 
   @Override
   public Document.Mapping toDocument() {
-    return Document.mapping()
-        .with("name", name)
-        .with("kind", requestKind.toString())
-        .with("deadline", Durations.format(deadline))
-        .with("latencyObjective", Durations.format(latencyObjective))
-        .with("maximumAttempts", maximumAttempts)
-        .build();
+    Document.MappingBuilder builder =
+        Document.mapping()
+            .with("name", name)
+            .with("kind", requestKind.toString())
+            .with("deadline", Durations.format(deadline))
+            .with("latencyObjective", Durations.format(latencyObjective))
+            .with("maximumAttempts", maximumAttempts);
+    rank.ifPresent(stated -> builder.with("rank", stated));
+    return builder.build();
   }
 
   @Override
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Rollout.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Rollout.java
@@ -132,7 +132,7 @@
 
   private Stream<Violation> conflicts(Configuration configuration, Service service) {
     Stream<Violation> sameVersion =
-        service.version().equals(version)
+        service.version().equals(Optional.of(version))
             ? Stream.of(violation("the version in charge, " + version, "another version"))
             : Stream.empty();
     Stream<Violation> others =
--- a/parsleycart-model/src/main/java/org/parsleycart/model/RolloutPhase.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/RolloutPhase.java
@@ -2,6 +2,13 @@
 
 /** The progress of a rollout; a phase that is not active never changes again. */
 public enum RolloutPhase {
+  /** An operator has asked for it, and no judge has started it. */
+  ORDERED("ordered", true) {
+    @Override
+    int share(int current) {
+      return 0;
+    }
+  },
   /** The share grows. */
   PROGRESSING("progressing", true) {
     @Override
@@ -51,6 +58,11 @@
     return active;
   }
 
+  /** Returns whether the version takes no calls but those that its share gives it. */
+  public boolean isHoldingBack() {
+    return this != DONE;
+  }
+
   abstract int share(int current);
 
   @Override
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Route.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Route.java
@@ -2,33 +2,55 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.MappingReader;
 
 /**
- * Leads the paths below a prefix to a service under a contract.
+ * Leads the paths below a prefix to one service, or to several by weight, under a contract.
  *
  * @param name the name
+ * @param host the host that a request must name, or empty for any host
  * @param pathPrefix the prefix, from {@code /} on; whole path segments are compared
- * @param service the name of the service
+ * @param destinations the services with their weights, at least one
  * @param contract the name of the contract
  * @param daemons the daemons that answer for this route, chosen by their labels
  */
 public record Route(
-    String name, String pathPrefix, String service, String contract, Selector daemons)
+    String name,
+    Optional<String> host,
+    String pathPrefix,
+    List<WeightedService> destinations,
+    String contract,
+    Selector daemons)
     implements Resource {
+  private static final String SERVICE = "service";
+  private static final String WEIGHTED_SERVICES = "weightedServices";
 
   // -- construction
 
   public Route {
     requireNonNull(name, "name is null");
+    requireNonNull(host, "host is null");
     requireNonNull(pathPrefix, "pathPrefix is null");
-    requireNonNull(service, "service is null");
+    destinations = List.copyOf(destinations);
     requireNonNull(contract, "contract is null");
     requireNonNull(daemons, "daemons is null");
   }
 
+  /** Creates a route of any host to a single service. */
+  public Route(String name, String pathPrefix, String service, String contract, Selector daemons) {
+    this(
+        name,
+        Optional.empty(),
+        pathPrefix,
+        List.of(WeightedService.whole(service)),
+        contract,
+        daemons);
+  }
+
   static Route from(MappingReader reader) {
     String prefix = reader.requiredText("pathPrefix");
     if (!prefix.startsWith("/")) {
@@ -36,12 +58,29 @@
     }
     return new Route(
         reader.requiredName("name"),
+        reader.text("host"),
         prefix,
-        reader.requiredName("service"),
+        destinationsFrom(reader),
         reader.requiredName("contract"),
         Selector.from(reader, "daemons"));
   }
 
+  private static List<WeightedService> destinationsFrom(MappingReader reader) {
+    if (!reader.has(WEIGHTED_SERVICES)) {
+      return List.of(WeightedService.whole(reader.requiredName(SERVICE)));
+    }
+    if (reader.has(SERVICE)) {
+      reader.report(SERVICE, "service beside weightedServices", "one of the two");
+    }
+    reader.text(SERVICE);
+    List<WeightedService> destinations =
+        reader.nestedItems(WEIGHTED_SERVICES).stream().map(WeightedService::from).toList();
+    if (destinations.stream().mapToLong(WeightedService::weight).sum() == 0) {
+      reader.report(WEIGHTED_SERVICES, "no weight above 0", "at least one weight above 0");
+    }
+    return destinations;
+  }
+
   // -- queries
 
   /** Returns whether the path lies at or below the prefix. */
@@ -55,6 +94,11 @@
         || path.charAt(pathPrefix.length()) == '/';
   }
 
+  /** Returns whether requests to the named service may take this route. */
+  public boolean leadsTo(String service) {
+    return destinations.stream().anyMatch(each -> each.service().equals(service));
+  }
+
   // -- Resource
 
   @Override
@@ -65,20 +109,25 @@
   @Override
   public Document.Mapping toDocument() {
     Document.MappingBuilder builder =
-        Document.mapping()
-            .with("name", name)
-            .with("pathPrefix", pathPrefix)
-            .with("service", service)
-            .with("contract", contract);
-    return daemons.addTo(builder, "daemons").build();
+        Document.mapping().with("name", name).with("pathPrefix", pathPrefix);
+    host.ifPresent(wanted -> builder.with("host", wanted));
+    if (destinations.equals(List.of(WeightedService.whole(destinations.get(0).service())))) {
+      builder.with(SERVICE, destinations.get(0).service());
+    } else {
+      builder.with(
+          WEIGHTED_SERVICES,
+          Document.sequence(destinations.stream().map(WeightedService::toDocument).toList()));
+    }
+    return daemons.addTo(builder.with("contract", contract), "daemons").build();
   }
 
   @Override
   public Stream<Violation> violations(Configuration configuration) {
     Stream<Violation> missingService =
-        configuration.service(service).isPresent()
-            ? Stream.empty()
-            : Stream.of(violation("the service \"" + service + "\"", "a service that exists"));
+        destinations.stream()
+            .map(WeightedService::service)
+            .filter(service -> configuration.service(service).isEmpty())
+            .map(service -> violation("the service \"" + service + "\"", "a service that exists"));
     Stream<Violation> missingContract =
         configuration.contract(contract).isPresent()
             ? Stream.empty()
--- a/parsleycart-model/src/main/java/org/parsleycart/model/RouteIndex.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/RouteIndex.java
@@ -18,7 +18,11 @@
   private final Map<Place, Route> byPlace = new HashMap<>();
 
   /** What at most one route may cover. */
-  private record Place(String pathPrefix, Selector daemons) {}
+  private record Place(Optional<String> host, String pathPrefix, Selector daemons) {
+    static Place of(Route route) {
+      return new Place(route.host(), route.pathPrefix(), route.daemons());
+    }
+  }
 
   // -- construction
 
@@ -35,24 +39,33 @@
     byFirstSegment
         .computeIfAbsent(firstSegment(route.pathPrefix()), unused -> new ArrayList<>())
         .add(route);
-    byPlace.putIfAbsent(new Place(route.pathPrefix(), route.daemons()), route);
+    byPlace.putIfAbsent(Place.of(route), route);
   }
 
   // -- queries
 
-  /** Returns the route with the longest prefix that covers the path, for the given daemon. */
-  Optional<Route> find(String path, Map<String, String> daemonLabels) {
-    return Stream.of(firstSegment(path), "")
-        .distinct()
-        .flatMap(segment -> byFirstSegment.getOrDefault(segment, List.of()).stream())
-        .filter(route -> route.covers(path))
-        .filter(route -> route.daemons().matches(daemonLabels))
-        .findFirst();
+  /**
+   * Returns the route with the longest prefix that covers the path, for the given daemon. Routes of
+   * the host go before routes of any host.
+   */
+  Optional<Route> find(Optional<String> host, String path, Map<String, String> daemonLabels) {
+    List<Route> fitting =
+        Stream.of(firstSegment(path), "")
+            .distinct()
+            .flatMap(segment -> byFirstSegment.getOrDefault(segment, List.of()).stream())
+            .filter(route -> route.covers(path))
+            .filter(route -> route.host().isEmpty() || route.host().equals(host))
+            .filter(route -> route.daemons().matches(daemonLabels))
+            .toList();
+    return fitting.stream()
+        .filter(route -> route.host().isPresent())
+        .findFirst()
+        .or(() -> fitting.stream().findFirst());
   }
 
-  /** Returns the first route by name with the prefix and the daemons of the given one. */
+  /** Returns the first route by name with the host, prefix and daemons of the given one. */
   Optional<Route> sameAs(Route route) {
-    return Optional.ofNullable(byPlace.get(new Place(route.pathPrefix(), route.daemons())));
+    return Optional.ofNullable(byPlace.get(Place.of(route)));
   }
 
   private static String firstSegment(String path) {
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Service.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Service.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.parsleycart.model.document.Document;
@@ -14,11 +15,18 @@
  * A service that upstreams offer.
  *
  * @param name the name under which upstreams announce themselves
- * @param version the version that takes all traffic outside rollouts
+ * @param version the version that takes all traffic outside rollouts, or empty for every version
+ *     that no rollout holds back
  * @param warmUp how long an upstream is slow after its start
+ * @param bounds what one upstream bears beside its slots
  * @param labels the labels that selectors match, beside {@code name}
  */
-public record Service(String name, String version, Duration warmUp, Map<String, String> labels)
+public record Service(
+    String name,
+    Optional<String> version,
+    Duration warmUp,
+    UpstreamBounds bounds,
+    Map<String, String> labels)
     implements Resource {
   private static final Duration DEFAULT_WARM_UP = Duration.ofSeconds(10);
 
@@ -28,20 +36,27 @@
     requireNonNull(name, "name is null");
     requireNonNull(version, "version is null");
     requireNonNull(warmUp, "warmUp is null");
+    requireNonNull(bounds, "bounds is null");
     labels = Map.copyOf(labels);
   }
 
+  /** Creates a service whose upstreams have no bounds beside their slots. */
+  public Service(String name, String version, Duration warmUp, Map<String, String> labels) {
+    this(name, Optional.of(version), warmUp, UpstreamBounds.none(), labels);
+  }
+
   static Service from(MappingReader reader) {
     return new Service(
         reader.requiredName("name"),
-        reader.requiredName("version"),
+        reader.text("version"),
         reader.duration("warmUp").orElse(DEFAULT_WARM_UP),
+        reader.nested("bounds").map(UpstreamBounds::from).orElseGet(UpstreamBounds::none),
         reader.texts("labels"));
   }
 
   /** Returns this service with another version in charge of all traffic. */
   public Service withVersion(String newVersion) {
-    return new Service(name, newVersion, warmUp, labels);
+    return new Service(name, Optional.of(newVersion), warmUp, bounds, labels);
   }
 
   // -- queries
@@ -60,12 +75,10 @@
 
   @Override
   public Document.Mapping toDocument() {
-    return Document.mapping()
-        .with("name", name)
-        .with("version", version)
-        .with("warmUp", Durations.format(warmUp))
-        .withTexts("labels", new TreeMap<>(labels))
-        .build();
+    Document.MappingBuilder builder = Document.mapping().with("name", name);
+    version.ifPresent(inCharge -> builder.with("version", inCharge));
+    builder.with("warmUp", Durations.format(warmUp));
+    return bounds.addTo(builder, "bounds").withTexts("labels", new TreeMap<>(labels)).build();
   }
 
   @Override
--- a/parsleycart-model/src/main/java/org/parsleycart/model/document/JsonDocuments.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/JsonDocuments.java
@@ -4,17 +4,86 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.vavr.control.Either;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
-/** Writes documents as JSON. JSON text is read by {@link YamlDocuments}. */
+/** Reads and writes documents as JSON. */
 public final class JsonDocuments {
   private static final JsonFactory FACTORY = new JsonFactory();
+  private static final int MAXIMUM_DEPTH = 32;
 
   private JsonDocuments() {}
 
+  /**
+   * Parses one JSON value. Entries whose value is null are left out.
+   *
+   * @param source the name of the source, used in places
+   * @param bytes the JSON text in UTF-8
+   * @return the document, or the fault of its form
+   */
+  public static Either<List<Problem>, Document> parse(String source, byte[] bytes) {
+    requireNonNull(bytes, "bytes is null");
+    Place place = Place.ofRoot(requireNonNull(source, "source is null"));
+    try (JsonParser parser = FACTORY.createParser(bytes)) {
+      parser.nextToken();
+      Optional<Document> document = read(parser, place, 0);
+      boolean whole = document.isPresent() && parser.nextToken() == null;
+      return whole
+          ? Either.right(document.get())
+          : Either.left(List.of(new Problem(place, "no single JSON value", "valid JSON")));
+    } catch (IOException e) {
+      return Either.left(List.of(new Problem(place, e.getClass().getSimpleName(), "valid JSON")));
+    }
+  }
+
+  private static Optional<Document> read(JsonParser parser, Place place, int depth)
+      throws IOException {
+    JsonToken token = parser.currentToken();
+    if (token == null || depth > MAXIMUM_DEPTH) {
+      throw new EOFException("no value, or too deep");
+    }
+    return switch (token) {
+      case START_OBJECT -> Optional.of(readMapping(parser, place, depth));
+      case START_ARRAY -> Optional.of(readSequence(parser, place, depth));
+      case VALUE_NUMBER_INT -> Optional.of(new Document.Scalar(place, parser.getLongValue()));
+      case VALUE_NUMBER_FLOAT -> Optional.of(new Document.Scalar(place, parser.getDoubleValue()));
+      case VALUE_TRUE, VALUE_FALSE ->
+          Optional.of(new Document.Scalar(place, parser.getBooleanValue()));
+      case VALUE_NULL -> Optional.empty();
+      default -> Optional.of(new Document.Scalar(place, parser.getText()));
+    };
+  }
+
+  private static Document readMapping(JsonParser parser, Place place, int depth)
+      throws IOException {
+    Map<String, Document> entries = new LinkedHashMap<>();
+    while (parser.nextToken() == JsonToken.FIELD_NAME) {
+      String key = parser.currentName();
+      parser.nextToken();
+      read(parser, place, depth + 1).ifPresent(value -> entries.put(key, value));
+    }
+    return new Document.Mapping(place, entries);
+  }
+
+  private static Document readSequence(JsonParser parser, Place place, int depth)
+      throws IOException {
+    List<Document> items = new ArrayList<>();
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      read(parser, place, depth + 1).ifPresent(items::add);
+    }
+    return new Document.Sequence(place, items);
+  }
+
   /** Returns the JSON text of a document. */
   public static String format(Document document) {
     requireNonNull(document, "document is null");
--- a/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
@@ -123,6 +124,23 @@
                 : Optional.empty());
   }
 
+  /** Returns the number under the key, whole or not, within the given bounds. */
+  public OptionalDouble decimal(String key, double minimum, double maximum) {
+    String wanted = "a number from " + minimum + " to " + maximum;
+    return scalar(
+            key,
+            wanted,
+            value ->
+                value instanceof Number number
+                        && number.doubleValue() >= minimum
+                        && number.doubleValue() <= maximum
+                    ? Optional.of(number.doubleValue())
+                    : Optional.empty())
+        .stream()
+        .mapToDouble(Double::doubleValue)
+        .findFirst();
+  }
+
   /** Returns the whole number under the key, or reports that it is missing. */
   public long requiredNumber(String key, long minimum, long maximum) {
     return required(key, "a whole number", number(key, minimum, maximum), minimum);
@@ -171,6 +189,21 @@
     return document(key).map(node -> MappingReader.of(node, problems));
   }
 
+  /** Returns a reader over the mapping under the key, or reports that it is missing. */
+  public MappingReader requiredNested(String key) {
+    Optional<MappingReader> found = nested(key);
+    if (found.isEmpty()) {
+      report(key, "nothing", "a mapping");
+    }
+    return found.orElseGet(
+        () -> new MappingReader(new Document.Mapping(place().child(key, 0), Map.of()), problems));
+  }
+
+  /** Returns a reader over each mapping of the list under the key. */
+  public List<MappingReader> nestedItems(String key) {
+    return items(key, item -> MappingReader.of(item, problems));
+  }
+
   /** Returns the items of the list under the key, each read by the given function. */
   public <T> List<T> items(String key, Function<Document, T> reader) {
     Optional<Document> node = document(key);
--- a/parsleycart-store/src/main/java/org/parsleycart/store/ConfigurationStore.java
+++ b/parsleycart-store/src/main/java/org/parsleycart/store/ConfigurationStore.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -29,7 +30,7 @@
  * <p>Version n + 1 is accepted exactly when its row exists. Any number of daemons may accept at
  * once; the insert decides. An answer that was lost is resolved by reading the row.
  */
-public final class ConfigurationStore {
+public final class ConfigurationStore implements ConfigurationAuthority {
   /** A snapshot is written at every multiple of this many versions. */
   static final long SNAPSHOT_INTERVAL = 64;
 
@@ -69,6 +70,7 @@
    * @param basedOn the version that the author saw, or empty for the newest
    * @return the version that the change became, or why it was not accepted
    */
+  @Override
   public Either<AcceptanceError, Long> accept(ConfigurationChange change, Optional<Long> basedOn) {
     requireNonNull(change, "change is null");
     Optional<Long> base = basedOn;
@@ -170,6 +172,16 @@
 
   // -- reading
 
+  @Override
+  public Either<PlatformError, Integer> catchUp(Duration wait) {
+    return catchUp();
+  }
+
+  @Override
+  public boolean isWaiting() {
+    return false;
+  }
+
   /** Reads all versions that the log lacks; returns how many took effect. */
   public Either<PlatformError, Integer> catchUp() {
     int applied = 0;
