--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -268,6 +268,7 @@
       case UNREACHABLE, BROKEN, LATE, UNUSABLE -> load.failed(parts.clock().instant());
       case REFUSED_BY_UPSTREAM, FAILED_ANSWER -> load.answered(true, parts.clock().instant());
       case NONE, CALLER_GONE, REPEATED -> {}
+      default -> throw new IllegalStateException("unknown fault " + fault);
     }
   }
 
