--- a/parsleycart-command/src/main/java/org/parsleycart/command/RolloutOutcome.java
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/RolloutOutcome.java
@@ -17,7 +17,7 @@
     return switch (phase) {
       case DONE -> ExitCode.DONE;
       case TAKEN_BACK, ABORTED -> ExitCode.REFUSED;
-      case PROGRESSING, SOAKING -> ExitCode.NOT_YET_IN_FORCE;
+      case ORDERED, PROGRESSING, SOAKING -> ExitCode.NOT_YET_IN_FORCE;
     };
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -28,6 +28,7 @@
 import org.parsleycart.daemon.operator.RolloutActions;
 import org.parsleycart.daemon.operator.StatusActions;
 import org.parsleycart.daemon.operator.UpstreamActions;
+import org.parsleycart.daemon.settings.DaemonLimits;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.decision.admission.AdmissionSettings;
@@ -82,12 +83,7 @@
         new MeshState(
             settings.zone(), settings.labels(), ConfigurationLog.empty(), new UrgentFacts());
     LoadBoard loads = new LoadBoard();
-    AdmissionSettings admissionSettings =
-        new AdmissionSettings(
-            settings.limits().coldLimit(),
-            settings.limits().queueLength(),
-            settings.limits().trustsSlots());
-    LocalUpstreams upstreams = new LocalUpstreams(admissionSettings, clock);
+    LocalUpstreams upstreams = new LocalUpstreams(admissionSettings(settings.limits()), clock);
     LocalEvidence evidence = new LocalEvidence(reports.evidence(), upstreams);
     ControlParts control = ControlParts.create(settings, keys, state, loads, evidence, clock);
     Acceptance acceptance = new Acceptance(control.authority(), control.gossip());
@@ -104,16 +100,7 @@
     Forwarder forwarder = new Forwarder(pools, clock);
     CallSignature signature = new CallSignature(keys);
     Dialect dialect = settings.dialect().create();
-    AdmissionService admission =
-        new AdmissionService(
-            state,
-            upstreams,
-            new KeyedCalls(new IdempotencyMemory(clock, KEYS_KEPT, MOST_KEYS)),
-            forwarder,
-            dialect,
-            reports.metrics(),
-            reports.evidence(),
-            clock);
+    AdmissionService admission = admission(state, upstreams, forwarder, dialect, reports, clock);
     EntryParts entryParts =
         entryParts(
             settings, dialect, state, loads, admission, forwarder, signature, reports, clock);
@@ -149,6 +136,28 @@
             operatorHandler(state, reports, control, acceptance, upstreams, loads, clock)));
   }
 
+  private static AdmissionSettings admissionSettings(DaemonLimits limits) {
+    return new AdmissionSettings(limits.coldLimit(), limits.queueLength(), limits.trustsSlots());
+  }
+
+  private static AdmissionService admission(
+      MeshState state,
+      LocalUpstreams upstreams,
+      Forwarder forwarder,
+      Dialect dialect,
+      Reports reports,
+      MonotonicClock clock) {
+    return new AdmissionService(
+        state,
+        upstreams,
+        new KeyedCalls(new IdempotencyMemory(clock, KEYS_KEPT, MOST_KEYS)),
+        forwarder,
+        dialect,
+        reports.metrics(),
+        reports.evidence(),
+        clock);
+  }
+
   private static EntryParts entryParts(
       DaemonSettings settings,
       Dialect dialect,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.parsleycart.daemon.settings.DaemonLimits;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
@@ -41,6 +42,7 @@
   private final ByteBufferPool buffers;
   private final OptionMap serverOptions;
   private final List<AcceptingChannel<? extends StreamConnection>> listeners = new ArrayList<>();
+  private final AtomicBoolean stopped = new AtomicBoolean();
 
   // -- construction
 
@@ -101,8 +103,12 @@
     listeners.add(listener);
   }
 
-  /** Closes all listeners and connections. */
+  /** Closes all listeners and connections; later calls do nothing. */
   public void stop() {
+    if (!stopped.compareAndSet(false, true)) {
+      // Closing a listener whose worker has ended would wait for it forever.
+      return;
+    }
     listeners.forEach(IoUtils::safeClose);
     worker.shutdownNow();
   }
