--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
@@ -37,7 +37,6 @@
 
   @Option(
       names = "--settings",
-      required = true,
       paramLabel = "FILE",
       description = "The YAML file of settings; docs/OPERATING.md lists them.")
   private Path settingsFile;
@@ -45,6 +44,12 @@
   @Option(names = "--check", description = "Check the settings and exit.")
   private boolean checkOnly;
 
+  @Option(
+      names = "--rehearse",
+      hidden = true,
+      description = "Live shortly on loopback, for the class archive that the build makes.")
+  private boolean rehearse;
+
   @Spec private CommandSpec spec;
 
   // -- start
@@ -58,6 +63,14 @@
   @Override
   public Integer call() {
     PrintWriter errors = spec.commandLine().getErr();
+    if (rehearse) {
+      return rehearse(errors);
+    }
+    if (settingsFile == null) {
+      errors.println("missing required option '--settings=FILE'");
+      spec.commandLine().usage(errors);
+      return BAD_INPUT;
+    }
     String text;
     try {
       text = Files.readString(settingsFile);
@@ -74,6 +87,16 @@
     return checkOnly ? DONE : run(settings.get(), errors);
   }
 
+  private static int rehearse(PrintWriter errors) {
+    try {
+      Rehearsal.run();
+      return DONE;
+    } catch (IOException e) {
+      errors.println("the rehearsal failed: " + e.getMessage());
+      return NOT_STARTED;
+    }
+  }
+
   private static int run(DaemonSettings settings, PrintWriter errors) {
     Daemon daemon;
     try {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/PlatformParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/PlatformParts.java
@@ -11,7 +11,6 @@
 import org.parsleycart.platform.StoreClock;
 import org.parsleycart.store.ConfigurationAuthority;
 import org.parsleycart.store.ConfigurationStore;
-import org.parsleycart.store.HttpPlatform;
 import org.parsleycart.store.Platform;
 
 /**
@@ -31,14 +30,12 @@
     }
     HttpClient client = HttpClient.start(1);
     String address = settings.platform().get();
-    if (settings.dialect() == DialectName.PARSLEYCART) {
-      Platform services =
-          new HttpPlatform(client, address, settings.platformTimeout()).toPlatform();
-      return withAcceptance(services, log, clock);
-    }
     StoreClock storeClock = new StoreClock(clock);
     PlatformStore store =
         new PlatformStore(client, address, settings.platformTimeout(), storeClock);
+    if (settings.dialect() == DialectName.PARSLEYCART) {
+      return withAcceptance(store.toPlatform(), log, clock);
+    }
     ConfigurationAuthority authority =
         new OperatorConfiguration(store, log, Set.copyOf(settings.zones()));
     return new PlatformParts(store.toPlatform(), authority, storeClock);
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.parsleycart.link.http.HttpAnswer;
 import org.parsleycart.link.http.HttpCall;
-import org.parsleycart.standin.PlatformFault;
+import org.parsleycart.platform.standin.StoreFault;
 import org.parsleycart.standin.UpstreamStandin;
 
 /** Moves of traffic among real daemons: zones, platform outages, stops and deaths. */
@@ -115,13 +115,13 @@
 
   @Test
   void shouldWithdrawAtOnceWhenThePlatformIsDownAndMakeItDurableLater() {
-    mesh.platform().setFault(PlatformFault.DOWN);
+    mesh.platform().setFault(StoreFault.DOWN);
 
     HttpAnswer answer = operate(0, "POST /zones/abdali/withdraw");
 
     assertThat(answer.text()).contains("\"provisional\":true");
     awaitBoth(0, 1);
-    mesh.platform().setFault(PlatformFault.NONE);
+    mesh.platform().setFault(StoreFault.NONE);
     mesh.await(() -> operate(1, "GET /configuration").text().contains("\"zone-abdali\""));
     assertThat(operate(0, "GET /status").text())
         .contains("{\"name\":\"abdali\",\"withdrawn\":true}");
@@ -129,13 +129,13 @@
 
   @Test
   void shouldRefuseNewWorkWhenNothingIsHeardFromOutsideTheZone() {
-    mesh.platform().setFault(PlatformFault.DOWN);
+    mesh.platform().setFault(StoreFault.DOWN);
     mesh.member(1).daemon().kill();
 
     mesh.await(() -> call(0).header("x-parsleycart-reason").orElse("").equals("isolated"));
     assertThat(call(0).header("x-parsleycart-outcome")).contains("not-run");
 
-    mesh.platform().setFault(PlatformFault.NONE);
+    mesh.platform().setFault(StoreFault.NONE);
     mesh.await(() -> call(0).status() == 200);
   }
 
@@ -154,7 +154,7 @@
 
   @Test
   void shouldGoOnServingWhenThePlatformIsDown() {
-    mesh.platform().setFault(PlatformFault.DOWN);
+    mesh.platform().setFault(StoreFault.DOWN);
 
     HttpAnswer refused =
         mesh.send(
@@ -205,7 +205,7 @@
   @Test
   void shouldBecomeReadyFromPeersWhenThePlatformIsDown() throws IOException {
     String before = operate(0, "GET /configuration").text();
-    mesh.platform().setFault(PlatformFault.DOWN);
+    mesh.platform().setFault(StoreFault.DOWN);
 
     TestMesh.Member late = mesh.add("marka", mesh.member(0).settings().identifier());
     mesh.await(() -> mesh.send(late.operators(), HttpCall.of("GET", "/readyz")).status() == 200);
@@ -216,7 +216,7 @@
 
   @Test
   void shouldNotBecomeReadyWhenThereIsNeitherPlatformNorPeer() throws IOException {
-    mesh.platform().setFault(PlatformFault.DOWN);
+    mesh.platform().setFault(StoreFault.DOWN);
 
     TestMesh.Member alone = mesh.add("marka");
 
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/TestMesh.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/TestMesh.java
@@ -18,7 +18,7 @@
 import org.parsleycart.link.http.HttpAnswer;
 import org.parsleycart.link.http.HttpCall;
 import org.parsleycart.link.http.HttpClient;
-import org.parsleycart.standin.PlatformStandin;
+import org.parsleycart.platform.standin.StoreStandin;
 
 /** A few real daemons in one process on free ports, with a platform stand-in. */
 public final class TestMesh implements AutoCloseable {
@@ -26,8 +26,8 @@
   private static final Duration LONGEST_WAIT = Duration.ofSeconds(30);
   private static final int BIND_ATTEMPTS = 20;
 
-  private final PlatformStandin platform =
-      PlatformStandin.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+  private final StoreStandin platform =
+      StoreStandin.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
   private final HttpClient client = HttpClient.start(1);
   private final List<Member> members = new ArrayList<>();
 
@@ -117,7 +117,7 @@
   }
 
   /** Returns the platform. */
-  public PlatformStandin platform() {
+  public StoreStandin platform() {
     return platform;
   }
 
--- a/parsleycart-standin/src/main/java/org/parsleycart/standin/StandinMain.java
+++ b/parsleycart-standin/src/main/java/org/parsleycart/standin/StandinMain.java
@@ -14,6 +14,7 @@
 import org.parsleycart.link.LibraryLogs;
 import org.parsleycart.link.http.HttpClient;
 import org.parsleycart.model.document.JsonDocuments;
+import org.parsleycart.platform.standin.StoreStandin;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -69,7 +70,7 @@
 
     @Override
     public Integer call() throws InterruptedException {
-      runUntilStopped(PlatformStandin.start(address(listen)));
+      runUntilStopped(StoreStandin.start(address(listen)));
       return 0;
     }
   }
--- a/parsleycart-store/src/main/java/org/parsleycart/store/package-info.java
+++ b/parsleycart-store/src/main/java/org/parsleycart/store/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The platform's transactional table and object store: the interfaces, the HTTP adapter, and the
+ * The transactional table and object store that keep what must last: the interfaces, and the
  * embedded one that keeps everything in memory. Depends on links.
  */
 package org.parsleycart.store;
