Stop the upstream's work when a caller leaves; bound cold upstreams before the first configuration

Cause: closing a client connection of the library while an answer is awaited sends nothing, as the request's fixed-length sink swallows the end of the stream; seen with the sockets' states in CallerLeavesTest, which failed over two hops. Ruled out: the watching of the caller's connection, which told both daemons within milliseconds. The connection is now taken from the library and closed itself.

A cold upstream got 78 calls in a second where 75.5 were allowed: a heartbeat that came before the first configuration found no bound and left the upstream unbounded until the next one. The bound is now read when a call is offered.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import org.parsleycart.daemon.call.AttemptEnd.Fault;
 import org.parsleycart.daemon.report.CallEvidence;
@@ -92,10 +93,20 @@
             call.route(),
             clock.instant().plus(contract.latencyObjective()),
             call.deadline());
+    // Heartbeats may come before the configuration, which tells what a cold upstream bears.
+    upstream.admission().setColdCallsPerSecond(coldCallsPerSecond(upstream));
     call.cancellation().onCancel(() -> cancelWaiting(upstream, call));
     carryOut(upstream, upstream.admission().offer(waiting));
   }
 
+  private OptionalDouble coldCallsPerSecond(LocalUpstream upstream) {
+    return state
+        .configuration()
+        .service(upstream.announced().service())
+        .map(service -> service.bounds().coldCallsPerSecond())
+        .orElseGet(OptionalDouble::empty);
+  }
+
   private void cancelWaiting(LocalUpstream upstream, LocalCall call) {
     if (upstream.admission().cancel(call)) {
       call.listener()
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -162,9 +162,19 @@
     }
   }
 
-  /** Closes a connection whose exchange did not end whole. */
+  /**
+   * Closes a connection whose exchange did not end whole, so that the other side notices at once.
+   * The library's own way of closing sends nothing while an answer is awaited.
+   */
   void discard(ClientConnection connection) {
-    IoUtils.safeClose(connection);
+    if (!connection.isOpen()) {
+      return;
+    }
+    try {
+      IoUtils.safeClose(connection.performUpgrade());
+    } catch (IOException e) {
+      IoUtils.safeClose(connection);
+    }
   }
 
   private void dropOldest() {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import org.parsleycart.decision.admission.Admission;
 import org.parsleycart.decision.admission.AdmissionControl;
@@ -90,11 +89,9 @@
    * has left, changes nothing.
    *
    * @param heartbeat the heartbeat
-   * @param coldCallsPerSecond what its upstream bears in a second while it is cold
    * @return whether it counts
    */
-  public synchronized boolean heartbeat(
-      UpstreamHeartbeat heartbeat, OptionalDouble coldCallsPerSecond) {
+  public synchronized boolean heartbeat(UpstreamHeartbeat heartbeat) {
     requireNonNull(heartbeat, "heartbeat is null");
     if (departures.hasLeft(heartbeat) || isOutdated(heartbeat)) {
       return false;
@@ -115,7 +112,7 @@
                 renewBy,
                 Optional.of(heartbeat),
                 new AdmissionControl<>(settings, heartbeat.upstream().slots(), clock));
-    after.admission().setCold(heartbeat.coldFor(), coldCallsPerSecond);
+    after.admission().setCold(heartbeat.coldFor());
     upstreams.put(identifier, after);
     if (!sameProcess || !before.announced().equals(after.announced())) {
       Logger.info(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamCallHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamCallHandler.java
@@ -9,12 +9,8 @@
 import io.undertow.util.StatusCodes;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.parsleycart.daemon.state.MeshState;
-import org.parsleycart.decision.membership.UpstreamHeartbeat;
 import org.parsleycart.link.dialect.Dialect;
-import org.parsleycart.model.Service;
-import org.parsleycart.model.UpstreamBounds;
 import org.parsleycart.model.document.Problem;
 import org.tinylog.Logger;
 
@@ -73,21 +69,12 @@
         .heartbeat(identifier, body)
         .peek(
             heartbeat -> {
-              upstreams.heartbeat(heartbeat, coldCallsPerSecond(heartbeat));
+              upstreams.heartbeat(heartbeat);
               answer(exchange, StatusCodes.OK);
             })
         .peekLeft(problems -> reject(exchange, identifier, problems));
   }
 
-  private OptionalDouble coldCallsPerSecond(UpstreamHeartbeat heartbeat) {
-    return state
-        .configuration()
-        .service(heartbeat.upstream().service())
-        .map(Service::bounds)
-        .map(UpstreamBounds::coldCallsPerSecond)
-        .orElseGet(OptionalDouble::empty);
-  }
-
   private static void reject(
       HttpServerExchange exchange, String identifier, List<Problem> problems) {
     Logger.info("heartbeat of {} cannot be read: {}", identifier, problems);
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -109,15 +109,14 @@
     return release();
   }
 
-  /**
-   * Takes note of how long the upstream says that it stays cold.
-   *
-   * @param remaining the time from now on
-   * @param callsPerSecond what it bears until then, or empty for no bound
-   */
-  public synchronized void setCold(Duration remaining, OptionalDouble callsPerSecond) {
-    Instant now = clock.instant();
+  /** Sets the calls a second that the upstream bears while it is cold, or empty for no bound. */
+  public synchronized void setColdCallsPerSecond(OptionalDouble callsPerSecond) {
     coldStart.setCallsPerSecond(callsPerSecond);
+  }
+
+  /** Takes note of how long from now on the upstream says that it stays cold. */
+  public synchronized void setCold(Duration remaining) {
+    Instant now = clock.instant();
     coldStart.setColdUntil(now.plus(remaining));
     if (!remaining.isZero()) {
       coldSince = now;
