--- a/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
@@ -103,6 +103,16 @@
     return required(key, "a text", text(key), "");
   }
 
+  /** Returns the text under the key, or reports that it is missing or a number or boolean. */
+  public String requiredString(String key) {
+    Optional<String> found =
+        scalar(
+            key,
+            "a text",
+            value -> value instanceof String text ? Optional.of(text) : Optional.empty());
+    return required(key, "a text", found, "");
+  }
+
   /** Returns the name under the key, or reports it and returns a stand-in. */
   public String requiredName(String key) {
     String name = requiredText(key);
