--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
@@ -12,6 +12,7 @@
 import org.parsleycart.link.LibraryLogs;
 import org.parsleycart.model.document.Problem;
 import org.tinylog.Logger;
+import org.tinylog.provider.ProviderRegistry;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -97,6 +98,14 @@
     }
   }
 
+  private static void writeLastLines() {
+    try {
+      ProviderRegistry.getLoggingProvider().shutdown();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static int run(DaemonSettings settings, PrintWriter errors) {
     Daemon daemon;
     try {
@@ -112,6 +121,7 @@
             new Thread(
                 () -> {
                   daemon.close();
+                  writeLastLines();
                   closed.countDown();
                 },
                 "stopping"));
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -155,6 +155,7 @@
         dialect,
         reports.metrics(),
         reports.evidence(),
+        reports.calls(),
         clock);
   }
 
@@ -187,6 +188,7 @@
         new Refusals(dialect),
         Hop.toDaemon(dialect),
         reports.metrics(),
+        reports.calls(),
         reports.tracing(),
         settings.limits(),
         clock,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Reports.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Reports.java
@@ -2,13 +2,17 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.time.InstantSource;
 import java.util.Optional;
 import org.parsleycart.daemon.report.CallEvidence;
+import org.parsleycart.daemon.report.CallLog;
 import org.parsleycart.daemon.report.CallMetrics;
 import org.parsleycart.daemon.report.CallTracing;
 import org.parsleycart.daemon.report.EventBook;
+import org.parsleycart.daemon.report.LineWriter;
 import org.parsleycart.daemon.report.SpanWriter;
 import org.parsleycart.daemon.settings.TraceSettings;
 
@@ -18,6 +22,7 @@
  * @param registry the meters
  * @param metrics the counters of calls
  * @param evidence the calls that count for rollouts
+ * @param calls writes a line for each decision on a request
  * @param events the events for operators
  * @param tracing the spans
  */
@@ -25,9 +30,13 @@
     PrometheusMeterRegistry registry,
     CallMetrics metrics,
     CallEvidence evidence,
+    CallLog calls,
     EventBook events,
     CallTracing tracing) {
 
+  /** The most lines about calls that wait to be written: some seconds of the most there are. */
+  private static final int CALL_LINES = 512;
+
   // -- construction
 
   static Reports create(TraceSettings settings, InstantSource clock) throws IOException {
@@ -40,6 +49,9 @@
         registry,
         new CallMetrics(registry),
         new CallEvidence(),
+        new CallLog(
+            LineWriter.start(new FileOutputStream(FileDescriptor.out), CALL_LINES, "call-log"),
+            clock),
         new EventBook(clock),
         CallTracing.start(settings, spans));
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -18,6 +18,7 @@
 import org.parsleycart.daemon.call.AttemptEnd.Fault;
 import org.parsleycart.daemon.report.CallEvidence;
 import org.parsleycart.daemon.report.CallEvidence.Series;
+import org.parsleycart.daemon.report.CallLog;
 import org.parsleycart.daemon.report.CallMetrics;
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.decision.Outcome;
@@ -28,6 +29,7 @@
 import org.parsleycart.link.dialect.Dialect;
 import org.parsleycart.model.Contract;
 import org.parsleycart.model.Service;
+import org.parsleycart.model.document.Document;
 
 /** Admits calls to the upstreams beside this daemon and sends the admitted ones on. */
 public final class AdmissionService {
@@ -41,6 +43,7 @@
   private final Dialect dialect;
   private final CallMetrics metrics;
   private final CallEvidence evidence;
+  private final CallLog log;
   private final InstantSource clock;
   private final Hop entryHop;
   private final Hop relayedHop;
@@ -56,6 +59,7 @@
       Dialect dialect,
       CallMetrics metrics,
       CallEvidence evidence,
+      CallLog log,
       InstantSource clock) {
     this.state = requireNonNull(state, "state is null");
     this.upstreams = requireNonNull(upstreams, "upstreams is null");
@@ -64,6 +68,7 @@
     this.dialect = requireNonNull(dialect, "dialect is null");
     this.metrics = requireNonNull(metrics, "metrics is null");
     this.evidence = requireNonNull(evidence, "evidence is null");
+    this.log = requireNonNull(log, "log is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.entryHop = Hop.fromEntryToUpstream(dialect);
     this.relayedHop = Hop.fromDaemonToUpstream(dialect);
@@ -77,7 +82,7 @@
     Optional<LocalUpstream> upstream = upstreams.find(call.upstream());
     Optional<RefusalReason> refusal = refusal(upstream);
     if (refusal.isPresent()) {
-      metrics.refused(refusal.get());
+      noteRefusal(call, upstream, refusal.get());
       call.listener().refused(refusal.get());
       return;
     }
@@ -128,13 +133,34 @@
   }
 
   private void carryOut(LocalUpstream upstream, Admission<LocalCall> admission) {
-    admission.refuse().forEach(refused -> metrics.refused(refused.reason()));
+    admission
+        .refuse()
+        .forEach(refused -> noteRefusal(refused.call().call(), upstream, refused.reason()));
     LocalUpstreams.refuseAll(upstream.admission().load(), admission);
     admission
         .start()
         .forEach(waiting -> waiting.call().onOwnThread(() -> start(upstream, waiting.call())));
   }
 
+  private void noteRefusal(LocalCall call, LocalUpstream upstream, RefusalReason reason) {
+    noteRefusal(call, Optional.of(upstream), reason);
+  }
+
+  private void noteRefusal(LocalCall call, Optional<LocalUpstream> upstream, RefusalReason reason) {
+    metrics.refused(reason);
+    Document.MappingBuilder fields =
+        Document.mapping()
+            .with("upstream", call.upstream())
+            .with("reason", reason.toString())
+            .with("route", call.route())
+            .with("configuration", state.configuration().version())
+            .with(
+                "remainingMilliseconds",
+                Duration.between(clock.instant(), call.deadline()).toMillis());
+    upstream.ifPresent(held -> fields.with("load", held.admission().load().toString()));
+    log.write("admission-refused", call.requestIdentifier(), fields);
+  }
+
   private void start(LocalUpstream upstream, LocalCall call) {
     Progress progress = new Progress(upstream, call, clock.instant());
     if (call.cancellation().isCancelled()) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -7,8 +7,8 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -28,6 +28,7 @@
 import org.parsleycart.decision.routing.UpstreamLoad;
 import org.parsleycart.decision.routing.VersionChoice;
 import org.parsleycart.model.Service;
+import org.parsleycart.model.document.Document;
 import org.xnio.IoUtils;
 
 /**
@@ -43,7 +44,7 @@
   private final CallTracing.CallSpan span;
   private final Cancellation cancellation = new Cancellation();
   private final Optional<String> key;
-  private final Set<String> tried = new HashSet<>();
+  private final Set<String> tried = new LinkedHashSet<>();
   private int arrivals;
   private int refusals;
   private boolean mayHaveRun;
@@ -248,9 +249,41 @@
     finished = true;
     Duration duration = Duration.between(request.arrivedAt(), parts.clock().instant());
     parts.metrics().ended(outcome, duration);
+    log(outcome, duration);
     span.with("parsleycart.attempts", Integer.toString(tried.size())).end(outcome);
   }
 
+  private void log(Outcome outcome, Duration duration) {
+    boolean answered = outcome == Outcome.ANSWERED;
+    boolean slow = duration.compareTo(request.contract().latencyObjective()) > 0;
+    boolean failed = exchange.getStatusCode() >= FIRST_SERVER_ERROR;
+    if (answered && !slow && !failed && !parts.log().isOrdinaryDue()) {
+      return;
+    }
+    Document.MappingBuilder fields =
+        Document.mapping()
+            .with("outcome", outcome.toString())
+            .with("status", exchange.getStatusCode())
+            .with("milliseconds", duration.toMillis())
+            .with("route", request.route().name())
+            .with("service", request.service().name())
+            .with("configuration", request.configuration().version())
+            .with("objectiveMilliseconds", request.contract().latencyObjective().toMillis())
+            .with("deadlineMilliseconds", allowed().toMillis())
+            .with("upstreams", String.join(",", tried))
+            .with("arrivals", arrivals + (answered ? 1 : 0))
+            .with("refusals", refusals);
+    if (!answered) {
+      fields.with("reason", late ? "deadline" : lastRefusal.toString());
+      fields.with("callerLeft", cancellation.isCancelled());
+    }
+    parts.log().write("call-ended", request.identifier(), fields);
+  }
+
+  private Duration allowed() {
+    return Duration.between(request.arrivedAt(), request.deadline());
+  }
+
   private void noteEnd(UpstreamLoad load, AttemptEnd end) {
     load.ended();
     if (end.delivered() && end.status().isPresent()) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -19,6 +19,7 @@
 import org.parsleycart.model.Contract;
 import org.parsleycart.model.Route;
 import org.parsleycart.model.Service;
+import org.parsleycart.model.document.Document;
 
 /** Takes calls from callers, finds their route and follows them to their answer. */
 public final class EntryHandler implements HttpHandler {
@@ -100,6 +101,17 @@
       HttpServerExchange exchange, String identifier, RefusalReason reason, Instant arrivedAt) {
     parts.metrics().refused(reason);
     parts.metrics().ended(Outcome.NOT_RUN, Duration.between(arrivedAt, parts.clock().instant()));
+    parts
+        .log()
+        .write(
+            "call-refused",
+            identifier,
+            Document.mapping()
+                .with("reason", reason.toString())
+                .with("status", reason.statusCode())
+                .with("host", hostOf(exchange).orElse(""))
+                .with("path", exchange.getRequestPath())
+                .with("configuration", parts.state().configuration().version()));
     Duration retryAfter = RetryAdvice.of(statedTime(exchange), parts.random().get());
     parts.refusals().notRun(exchange, identifier, reason, retryAfter);
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryParts.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.parsleycart.daemon.report.CallLog;
 import org.parsleycart.daemon.report.CallMetrics;
 import org.parsleycart.daemon.report.CallTracing;
 import org.parsleycart.daemon.settings.DaemonLimits;
@@ -31,6 +32,7 @@
  * @param refusals writes the answers of the mesh itself
  * @param hop the hop to other daemons
  * @param metrics counts calls
+ * @param log writes a line for each decision on a request
  * @param tracing starts spans
  * @param limits bounds of bodies
  * @param clock the time
@@ -50,6 +52,7 @@
     Refusals refusals,
     Hop hop,
     CallMetrics metrics,
+    CallLog log,
     CallTracing tracing,
     DaemonLimits limits,
     InstantSource clock,
@@ -71,6 +74,7 @@
     requireNonNull(refusals, "refusals is null");
     requireNonNull(hop, "hop is null");
     requireNonNull(metrics, "metrics is null");
+    requireNonNull(log, "log is null");
     requireNonNull(tracing, "tracing is null");
     requireNonNull(limits, "limits is null");
     requireNonNull(clock, "clock is null");
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/LineWriter.java
@@ -0,0 +1,101 @@
+package org.parsleycart.daemon.report;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.parsleycart.model.document.Document;
+import org.parsleycart.model.document.JsonDocuments;
+
+/**
+ * Writes structured lines, one JSON object each, from a bounded queue on a thread of its own.
+ *
+ * <p>Whoever adds a line never waits: lines that do not fit are dropped and counted, and the count
+ * is written once there is room again. A slow or closed output delays the thread alone.
+ */
+public final class LineWriter implements AutoCloseable {
+  /** How often the queue is emptied; longer than a wake-up costs, shorter than anyone waits. */
+  private static final Duration INTERVAL = Duration.ofMillis(250);
+
+  private final BlockingQueue<Document.Mapping> lines;
+  private final PrintStream output;
+  private final AtomicLong dropped = new AtomicLong();
+  private final Thread thread;
+  private volatile boolean stopped;
+
+  // -- construction
+
+  private LineWriter(OutputStream output, int capacity, String name) {
+    this.output = new PrintStream(output, false, StandardCharsets.UTF_8);
+    this.lines = new ArrayBlockingQueue<>(capacity);
+    this.thread = new Thread(this::run, name);
+    this.thread.setDaemon(true);
+  }
+
+  /**
+   * Starts a writer.
+   *
+   * @param output takes the lines
+   * @param capacity the most lines that wait
+   * @param name names its thread
+   */
+  public static LineWriter start(OutputStream output, int capacity, String name) {
+    requireNonNull(output, "output is null");
+    LineWriter writer = new LineWriter(output, capacity, requireNonNull(name, "name is null"));
+    writer.thread.start();
+    return writer;
+  }
+
+  // -- operations
+
+  /** Adds a line, or drops it when too many wait; never blocks. */
+  public boolean add(Document.Mapping line) {
+    boolean added = lines.offer(requireNonNull(line, "line is null"));
+    if (!added) {
+      dropped.incrementAndGet();
+    }
+    return added;
+  }
+
+  /** Returns how many lines were dropped since that was last written. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  private void run() {
+    while (!stopped) {
+      LockSupport.parkNanos(INTERVAL.toNanos());
+      writeWaiting();
+    }
+  }
+
+  private synchronized void writeWaiting() {
+    List<Document.Mapping> waiting = new ArrayList<>();
+    lines.drainTo(waiting);
+    long missing = dropped.getAndSet(0);
+    if (missing > 0) {
+      waiting.add(Document.mapping().with("event", "lines-dropped").with("count", missing).build());
+    }
+    if (!waiting.isEmpty()) {
+      StringBuilder text = new StringBuilder();
+      waiting.forEach(line -> text.append(JsonDocuments.format(line)).append('\n'));
+      output.print(text);
+      output.flush();
+    }
+  }
+
+  /** Writes what waits and ends the thread. */
+  @Override
+  public void close() {
+    stopped = true;
+    writeWaiting();
+  }
+}
