Notice at once that a caller left before its request was read

After a loss of all power 66 requests were sent on whose callers had left: a daemon that has just started reads requests that waited in its sockets, and looked for the end of the connection only after it had sent them on. It now looks first, at the entry and beside the upstream.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -92,6 +92,11 @@
     if (body.isReplayable()) {
       WatchedSource.watch(exchange, cancellation::cancel);
     }
+    if (cancellation.isCancelled()) {
+      IoUtils.safeClose(exchange.getConnection());
+      span.end(Outcome.NOT_RUN);
+      return;
+    }
     admission.submit(
         new LocalCall(
             exchange,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -78,6 +78,9 @@
     if (body.isReplayable()) {
       WatchedSource.watch(exchange, this::callerGone);
     }
+    if (finished) {
+      return;
+    }
     attempt(body);
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/WatchedSource.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/WatchedSource.java
@@ -81,7 +81,11 @@
     onGone = Optional.of(task);
     if (ended) {
       tellGone();
-    } else {
+      return;
+    }
+    // A caller may have left while its request waited to be read: its end is there already.
+    readAhead();
+    if (!ended) {
       next.resumeReads();
     }
   }
