Answer 503, not 404, when the daemon beside an upstream lags; refuse what a stop would cut

A store outage of 8 s, over which daemons restarted: 133 proper requests got 404. Cause: the daemon beside the upstream did not know the route yet and said so as 'no route', which the entry took for its own answer. It now says that it is behind, and the entry goes elsewhere.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -22,6 +22,13 @@
   private static final int BUFFER_BYTES = 8 * 1024;
   private static final int BUFFERS_KEPT = 64;
   private static final Duration SPREADING_TIME = Duration.ofSeconds(2);
+
+  /**
+   * How long a daemon that stops takes new calls. Those taken up to here still have the drain
+   * timeout to end; callers that send later would be cut at its end.
+   */
+  private static final Duration SERVING_TIME = Duration.ofSeconds(3);
+
   private static final Duration STEP = Duration.ofMillis(50);
 
   private final DaemonSettings settings;
@@ -75,8 +82,8 @@
   // -- stopping
 
   /**
-   * Stops gracefully: announces that the daemon leaves, goes on with calls until the others know,
-   * waits for running calls, then closes.
+   * Stops gracefully: announces that the daemon leaves, serves calls while callers and the others
+   * learn of it, then refuses new ones, waits for running calls, and closes.
    */
   @Override
   public void close() {
@@ -87,10 +94,12 @@
         .control()
         .gossip()
         .submit((protocol, pulls) -> protocol.announceSelf(MemberStatus.LEFT, List.of()));
-    Instant known = parts.clock().instant().plus(SPREADING_TIME);
-    waitUntil(known, false);
+    Instant begun = parts.clock().instant();
+    waitUntil(begun.plus(SPREADING_TIME), false);
     parts.upstreams().closeAll(RefusalReason.DRAINING);
-    waitUntil(parts.clock().instant().plus(settings.limits().drainTimeout()), true);
+    waitUntil(begun.plus(SERVING_TIME), true);
+    refuseNewCalls();
+    waitUntil(begun.plus(SPREADING_TIME).plus(settings.limits().drainTimeout()), true);
     int cut = parts.upstreams().running();
     server.stop();
     parts.stopDuties();
@@ -98,6 +107,11 @@
     Logger.info("stopped with {} calls still running", cut);
   }
 
+  /** Refuses calls from now on; those taken before go on. */
+  void refuseNewCalls() {
+    parts.state().setClosed();
+  }
+
   /** Stops at once, as when the process dies; running calls are cut. */
   void kill() {
     parts.stopDuties();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -63,7 +63,7 @@
     boolean trusted = signature.isSigned(identifier, upstream, routeName, signed);
     Optional<Contract> contract = state.configuration().contractOfRoute(routeName);
     if (!trusted || contract.isEmpty()) {
-      RefusalReason reason = trusted ? RefusalReason.NO_ROUTE : RefusalReason.BAD_REQUEST;
+      RefusalReason reason = trusted ? RefusalReason.BEHIND : RefusalReason.BAD_REQUEST;
       Refusals.toDaemon(exchange, identifier, Outcome.NOT_RUN, reason.toString());
       return;
     }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -92,6 +92,9 @@
     if (!state.isServing()) {
       return Optional.of(RefusalReason.NOT_READY);
     }
+    if (state.isClosed()) {
+      return Optional.of(RefusalReason.STOPPING);
+    }
     return service.isPresent() && contract.isPresent()
         ? Optional.empty()
         : Optional.of(RefusalReason.NO_ROUTE);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/state/MeshState.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/state/MeshState.java
@@ -21,6 +21,7 @@
   private volatile boolean ready;
   private volatile boolean isolated;
   private volatile boolean stopping;
+  private volatile boolean closed;
 
   // -- construction
 
@@ -75,6 +76,11 @@
     return ready;
   }
 
+  /** Returns whether a planned stop has come so far that new calls would be cut. */
+  public boolean isClosed() {
+    return closed;
+  }
+
   /** Returns whether nothing has been heard from outside the zone for too long. */
   public boolean isIsolated() {
     return isolated;
@@ -107,6 +113,11 @@
     isolated = nowIsolated;
   }
 
+  /** Notes that new calls are refused from now on, as the daemon ends within moments. */
+  public void setClosed() {
+    closed = true;
+  }
+
   /** Notes that a planned stop is under way. */
   public void setStopping() {
     stopping = true;
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
@@ -191,6 +191,18 @@
     assertThat(mesh.send(entry.callers(), read).header("x-upstream")).contains("marka");
   }
 
+  @Test
+  void shouldRefuseCallsThatAStopWouldCut() {
+    mesh.member(0).daemon().refuseNewCalls();
+
+    HttpAnswer refused = call(0);
+
+    assertThat(refused.status()).isEqualTo(503);
+    assertThat(refused.header("x-parsleycart-outcome")).contains("not-run");
+    assertThat(refused.header("Retry-After")).isPresent();
+    assertThat(call(1).status()).isEqualTo(200);
+  }
+
   @Test
   void shouldGoOnWithTheOtherDaemonWhenOneDies() {
     mesh.member(0).daemon().kill();
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/WithdrawnZoneTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/WithdrawnZoneTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.parsleycart.daemon.TestMesh;
+import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.link.PeerKeys;
 import org.parsleycart.link.http.HttpAnswer;
 import org.parsleycart.link.http.HttpCall;
@@ -40,15 +41,19 @@
 
   /** Sends a call as another daemon would. */
   private HttpAnswer callAsEntry() {
+    return callAsEntry("read");
+  }
+
+  private HttpAnswer callAsEntry(String route) {
     CallSignature signature = new CallSignature(PeerKeys.of(List.of("test-key-0123456789")));
     return mesh.send(
         mesh.member(0).daemons(),
         HttpCall.of("GET", "/read")
             .header("X-Parsleycart-Upstream", "u0")
-            .header("X-Parsleycart-Route", "read")
+            .header("X-Parsleycart-Route", route)
             .header("X-Parsleycart-Request-Identifier", "r1")
             .header("X-Parsleycart-Deadline-Milliseconds", "1000")
-            .header("X-Parsleycart-Signature", signature.sign("r1", "u0", "read")));
+            .header("X-Parsleycart-Signature", signature.sign("r1", "u0", route)));
   }
 
   private void operate(String path) {
@@ -68,6 +73,17 @@
     assertThat(upstream.requests()).isEqualTo(1);
   }
 
+  /** The entry sends the call elsewhere then; it must not take it for a route that is nowhere. */
+  @Test
+  void shouldSayThatItIsBehindWhenItDoesNotKnowTheRouteYet() {
+    HttpAnswer refused = callAsEntry("added-later");
+
+    assertThat(refused.header("x-parsleycart-outcome")).contains("not-run");
+    assertThat(refused.header("x-parsleycart-reason")).contains("behind");
+    assertThat(RefusalReason.BEHIND.meansElsewhere()).isTrue();
+    assertThat(RefusalReason.BEHIND.statusCode()).isEqualTo(503);
+  }
+
   @Test
   void shouldRefuseAsNotRunWhenTheUpstreamDrains() {
     operate("/upstreams/u0/drain");
