--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
@@ -39,7 +39,7 @@
   @Option(
       names = "--settings",
       paramLabel = "FILE",
-      description = "The YAML file of settings; docs/OPERATING.md lists them.")
+      description = "The YAML file of settings; docs/OPERATIONS.md lists them.")
   private Path settingsFile;
 
   @Option(names = "--check", description = "Check the settings and exit.")
