--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
@@ -111,7 +111,12 @@
       PullDuty pulls,
       DatagramLink datagrams) {
     Random random = new Random();
-    PullPlanner planner = new PullPlanner(settings.identifier(), random, state.log()::knownThrough);
+    PullPlanner planner =
+        new PullPlanner(
+            settings.identifier(),
+            random,
+            state.log()::knownThrough,
+            settings.dialect().patienceWithPlatform());
     GossipProtocol protocol =
         new GossipProtocol(
             new MembershipTable(selfRecord(settings, clock), clock.instant()),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -169,7 +169,7 @@
     }
     CallHeaderNames names = dialect.headers();
     Map<HttpString, String> headers = new LinkedHashMap<>();
-    headers.put(CallHeaders.TRACE_PARENT, call.traceParent());
+    CallHeaders.putTraceParent(headers, call.traceParent());
     headers.put(names.expectedInstance(), call.upstream());
     call.callerService().ifPresent(service -> headers.put(names.callerService(), service));
     long remaining = Duration.between(clock.instant(), call.deadline()).toMillis();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -6,6 +6,7 @@
 import io.undertow.util.HttpString;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 /** The headers that the mesh adds to calls, and the rules for passing on all others. */
@@ -56,6 +57,13 @@
     }
   }
 
+  /** Adds the trace context of a call, unless there is none. */
+  static void putTraceParent(Map<HttpString, String> headers, String traceParent) {
+    if (!traceParent.isEmpty()) {
+      headers.put(TRACE_PARENT, traceParent);
+    }
+  }
+
   /** Returns whether the header is one of the mesh, which callers may not set. */
   static boolean isOfMesh(HttpString name) {
     return name.toString().regionMatches(true, 0, PREFIX, 0, PREFIX.length());
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -171,7 +171,7 @@
     Map<HttpString, String> headers = new LinkedHashMap<>();
     headers.put(CallHeaders.UPSTREAM, candidate.identifier());
     headers.put(CallHeaders.ROUTE, routeName);
-    headers.put(CallHeaders.TRACE_PARENT, span.traceParent());
+    CallHeaders.putTraceParent(headers, span.traceParent());
     headers.put(
         CallHeaders.SIGNATURE,
         parts.signature().sign(request.identifier(), candidate.identifier(), routeName));
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
@@ -26,7 +26,7 @@
   private static final long STEP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
   private static final Duration SYNCHRONIZATION_INTERVAL = Duration.ofSeconds(20);
   private static final Duration START_INTERVAL = Duration.ofMillis(500);
-  private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration JOIN_INTERVAL = Duration.ofMillis(400);
   private static final Duration ISOLATION_AFTER = Duration.ofSeconds(5);
   private static final Duration FACT_INTERVAL = Duration.ofSeconds(1);
   private static final int RING_CAPACITY = 64;
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallTracing.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallTracing.java
@@ -27,11 +27,13 @@
 
   private final SdkTracerProvider provider;
   private final Tracer tracer;
+  private final boolean recording;
 
   // -- construction
 
-  private CallTracing(SdkTracerProvider provider) {
+  private CallTracing(SdkTracerProvider provider, boolean recording) {
     this.provider = provider;
+    this.recording = recording;
     this.tracer = provider.get("parsleycart");
   }
 
@@ -42,7 +44,7 @@
     Sampler sampler = Sampler.parentBased(Sampler.traceIdRatioBased(share));
     var builder = SdkTracerProvider.builder().setSampler(sampler);
     writer.ifPresent(builder::addSpanProcessor);
-    return new CallTracing(builder.build());
+    return new CallTracing(builder.build(), writer.isPresent());
   }
 
   // -- operations
@@ -55,12 +57,28 @@
    * @param traceParent the trace context received, if any
    */
   public CallSpan startSpan(String name, SpanKind kind, Optional<String> traceParent) {
+    if (!recording) {
+      return new CallSpan(Span.getInvalid(), traceParent.orElse(""));
+    }
     Context parent =
         traceParent
             .map(text -> PROPAGATOR.extract(Context.root(), text, TRACE_PARENT_GETTER))
             .orElse(Context.root());
     Span span = tracer.spanBuilder(name).setSpanKind(kind).setParent(parent).startSpan();
-    return new CallSpan(span);
+    return new CallSpan(span, traceParentOf(span));
+  }
+
+  private static String traceParentOf(Span span) {
+    AtomicReference<String> carrier = new AtomicReference<>("");
+    PROPAGATOR.inject(
+        Context.root().with(span),
+        carrier,
+        (reference, key, value) -> {
+          if (key.equals(TRACE_PARENT)) {
+            reference.set(value);
+          }
+        });
+    return carrier.get();
   }
 
   @Override
@@ -71,23 +89,16 @@
   /** The span of one hop. */
   public static final class CallSpan {
     private final Span span;
+    private final String traceParent;
 
-    private CallSpan(Span span) {
+    private CallSpan(Span span, String traceParent) {
       this.span = span;
+      this.traceParent = traceParent;
     }
 
-    /** Returns the trace context for the next hop. */
+    /** Returns the trace context for the next hop, empty when there is none. */
     public String traceParent() {
-      AtomicReference<String> carrier = new AtomicReference<>("");
-      PROPAGATOR.inject(
-          Context.root().with(span),
-          carrier,
-          (reference, key, value) -> {
-            if (key.equals(TRACE_PARENT)) {
-              reference.set(value);
-            }
-          });
-      return carrier.get();
+      return traceParent;
     }
 
     /** Adds an attribute. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DialectName.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DialectName.java
@@ -1,5 +1,6 @@
 package org.parsleycart.daemon.settings;
 
+import java.time.Duration;
 import org.parsleycart.daemon.call.OwnDialect;
 import org.parsleycart.link.dialect.Dialect;
 import org.parsleycart.platform.PlatformDialect;
@@ -21,12 +22,20 @@
     }
   };
 
+  /** Above the usual delay of the platform's feed, and a third of the time for a version. */
+  private static final Duration FEED_DELAY = Duration.ofMillis(600);
+
   private final String label;
 
   DialectName(String label) {
     this.label = label;
   }
 
+  /** Returns how long a daemon's own reading of the platform may take before peers are asked. */
+  public Duration patienceWithPlatform() {
+    return this == PLATFORM ? FEED_DELAY : Duration.ZERO;
+  }
+
   /** Returns the names and forms of this interface. */
   public abstract Dialect create();
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
@@ -36,10 +36,12 @@
   private final String self;
   private final RandomGenerator random;
   private final LongSupplier knownThrough;
+  private final Duration patience;
   private final Map<String, Head> peersAhead = new HashMap<>();
   private Optional<Pull> inFlight = Optional.empty();
   private Instant notBefore = Instant.MIN;
   private Duration pause = SHORTEST_PAUSE;
+  private Optional<Instant> behindSince = Optional.empty();
   private boolean wholeSnapshotNeeded;
 
   private record Pull(String peer, Instant startedAt) {}
@@ -48,7 +50,7 @@
 
   /** Creates a planner for the daemon with the given identifier. */
   public PullPlanner(String self, RandomGenerator random) {
-    this(self, random, () -> 0);
+    this(self, random, () -> 0, Duration.ZERO);
   }
 
   /**
@@ -57,11 +59,14 @@
    * @param self the identifier of the daemon
    * @param random the source of choices
    * @param knownThrough gives the version up to which nothing is missing, whatever peers announce
+   * @param patience how long the daemon's own reading may take before peers are asked
    */
-  public PullPlanner(String self, RandomGenerator random, LongSupplier knownThrough) {
+  public PullPlanner(
+      String self, RandomGenerator random, LongSupplier knownThrough, Duration patience) {
     this.self = requireNonNull(self, "self is null");
     this.random = requireNonNull(random, "random is null");
     this.knownThrough = requireNonNull(knownThrough, "knownThrough is null");
+    this.patience = requireNonNull(patience, "patience is null");
   }
 
   // -- events
@@ -107,7 +112,13 @@
         .ifPresent(pull -> noteFailure(now));
     long known = Math.max(own.version(), knownThrough.getAsLong());
     peersAhead.values().removeIf(head -> head.version() <= known);
-    if (inFlight.isPresent() || peersAhead.isEmpty() || now.isBefore(notBefore)) {
+    if (peersAhead.isEmpty()) {
+      behindSince = Optional.empty();
+      return Optional.empty();
+    }
+    behindSince = behindSince.or(() -> Optional.of(now));
+    boolean waiting = now.isBefore(notBefore) || now.isBefore(behindSince.get().plus(patience));
+    if (inFlight.isPresent() || waiting) {
       return Optional.empty();
     }
     String peer = choosePeer();
