--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -79,6 +79,13 @@
     return daemon;
   }
 
+  // -- settings
+
+  /** Takes over the settings that may change while the daemon runs: the service beside it. */
+  void reload(DaemonSettings changed) {
+    parts.state().setCallerService(changed.upstreamService());
+  }
+
   // -- stopping
 
   /**
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
@@ -85,7 +85,7 @@
       settings.getLeft().forEach(errors::println);
       return BAD_INPUT;
     }
-    return checkOnly ? DONE : run(settings.get(), errors);
+    return checkOnly ? DONE : run(settings.get(), text, errors);
   }
 
   private static int rehearse(PrintWriter errors) {
@@ -106,7 +106,7 @@
     }
   }
 
-  private static int run(DaemonSettings settings, PrintWriter errors) {
+  private int run(DaemonSettings settings, String text, PrintWriter errors) {
     Daemon daemon;
     try {
       daemon = Daemon.start(settings);
@@ -115,6 +115,9 @@
       Logger.debug(e);
       return NOT_STARTED;
     }
+    SettingsWatch watch = new SettingsWatch(settingsFile, text, daemon::reload);
+    HangupSignal.onSignal(watch::requestReload);
+    watch.start();
     CountDownLatch closed = new CountDownLatch(1);
     Runtime.getRuntime()
         .addShutdownHook(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -82,6 +82,7 @@
     MeshState state =
         new MeshState(
             settings.zone(), settings.labels(), ConfigurationLog.empty(), new UrgentFacts());
+    state.setCallerService(settings.upstreamService());
     LoadBoard loads = new LoadBoard();
     LocalUpstreams upstreams = new LocalUpstreams(admissionSettings(settings.limits()), clock);
     LocalEvidence evidence = new LocalEvidence(reports.evidence(), upstreams);
@@ -184,7 +185,6 @@
         forwarder,
         signature,
         dialect,
-        settings.upstreamService(),
         new Refusals(dialect),
         Hop.toDaemon(dialect),
         reports.metrics(),
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/HangupSignal.java
@@ -0,0 +1,38 @@
+package org.parsleycart.daemon;
+
+import java.lang.reflect.Proxy;
+import org.tinylog.Logger;
+
+/**
+ * The signal that asks a process to read its settings again.
+ *
+ * <p>Without a handler the runtime ends at SIGHUP as it does at SIGTERM. Its own class is the only
+ * way to a handler; the compiler refuses that class by name, so it is looked up.
+ */
+final class HangupSignal {
+  private static final String NAME = "HUP";
+  private static final String SIGNAL = "sun.misc.Signal";
+  private static final String HANDLER = "sun.misc.SignalHandler";
+
+  private HangupSignal() {}
+
+  /** Runs the task at each signal from now on. */
+  static void onSignal(Runnable task) {
+    try {
+      Class<?> signalType = Class.forName(SIGNAL);
+      Class<?> handlerType = Class.forName(HANDLER);
+      Object handler =
+          Proxy.newProxyInstance(
+              handlerType.getClassLoader(),
+              new Class<?>[] {handlerType},
+              (proxy, method, arguments) -> {
+                task.run();
+                return null;
+              });
+      Object signal = signalType.getConstructor(String.class).newInstance(NAME);
+      signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, handler);
+    } catch (ReflectiveOperationException e) {
+      Logger.warn("SIGHUP ends this process, as it cannot be handled: {}", e.toString());
+    }
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -161,7 +161,7 @@
                 request.contract(),
                 request.deadline(),
                 span.traceParent(),
-                parts.callerService(),
+                parts.state().callerService(),
                 cancellation,
                 new LocalProgress(body, load, candidate.zone())));
   }
@@ -177,6 +177,7 @@
         parts.signature().sign(request.identifier(), candidate.identifier(), routeName));
     headers.put(CallHeaders.DEADLINE, Long.toString(Math.max(0, remaining().toMillis())));
     parts
+        .state()
         .callerService()
         .ifPresent(service -> headers.put(parts.dialect().headers().callerService(), service));
     cancellation.onCancel(
@@ -264,15 +265,10 @@
       return;
     }
     Document.MappingBuilder fields =
-        Document.mapping()
+        request
+            .toLogFields(duration)
             .with("outcome", outcome.toString())
             .with("status", exchange.getStatusCode())
-            .with("milliseconds", duration.toMillis())
-            .with("route", request.route().name())
-            .with("service", request.service().name())
-            .with("configuration", request.configuration().version())
-            .with("objectiveMilliseconds", request.contract().latencyObjective().toMillis())
-            .with("deadlineMilliseconds", allowed().toMillis())
             .with("upstreams", String.join(",", tried))
             .with("arrivals", arrivals + (answered ? 1 : 0))
             .with("refusals", refusals);
@@ -283,10 +279,6 @@
     parts.log().write("call-ended", request.identifier(), fields);
   }
 
-  private Duration allowed() {
-    return Duration.between(request.arrivedAt(), request.deadline());
-  }
-
   private void noteEnd(UpstreamLoad load, AttemptEnd end) {
     load.ended();
     if (end.delivered() && end.status().isPresent()) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryParts.java
@@ -3,7 +3,6 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.InstantSource;
-import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleycart.daemon.report.CallLog;
@@ -28,7 +27,6 @@
  * @param forwarder sends calls to other daemons
  * @param signature signs calls to other daemons
  * @param dialect how callers speak
- * @param callerService the service beside this daemon, which upstreams are told
  * @param refusals writes the answers of the mesh itself
  * @param hop the hop to other daemons
  * @param metrics counts calls
@@ -48,7 +46,6 @@
     Forwarder forwarder,
     CallSignature signature,
     Dialect dialect,
-    Optional<String> callerService,
     Refusals refusals,
     Hop hop,
     CallMetrics metrics,
@@ -70,7 +67,6 @@
     requireNonNull(forwarder, "forwarder is null");
     requireNonNull(signature, "signature is null");
     requireNonNull(dialect, "dialect is null");
-    requireNonNull(callerService, "callerService is null");
     requireNonNull(refusals, "refusals is null");
     requireNonNull(hop, "hop is null");
     requireNonNull(metrics, "metrics is null");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryRequest.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryRequest.java
@@ -2,11 +2,13 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
 import org.parsleycart.model.Route;
 import org.parsleycart.model.Service;
+import org.parsleycart.model.document.Document;
 
 /**
  * A caller's request once its route is known.
@@ -37,4 +39,17 @@
     requireNonNull(arrivedAt, "arrivedAt is null");
     requireNonNull(deadline, "deadline is null");
   }
+
+  // -- conversion
+
+  /** Returns the inputs of decisions on this request, for its line in the log. */
+  Document.MappingBuilder toLogFields(Duration duration) {
+    return Document.mapping()
+        .with("milliseconds", duration.toMillis())
+        .with("route", route.name())
+        .with("service", service.name())
+        .with("configuration", configuration.version())
+        .with("objectiveMilliseconds", contract.latencyObjective().toMillis())
+        .with("deadlineMilliseconds", Duration.between(arrivedAt, deadline).toMillis());
+  }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/state/MeshState.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/state/MeshState.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Map;
+import java.util.Optional;
 import org.parsleycart.decision.routing.UpstreamDirectory;
 import org.parsleycart.decision.spreading.ConfigurationLog;
 import org.parsleycart.decision.spreading.UrgentFacts;
@@ -22,6 +23,7 @@
   private volatile boolean isolated;
   private volatile boolean stopping;
   private volatile boolean closed;
+  private volatile Optional<String> callerService = Optional.empty();
 
   // -- construction
 
@@ -86,6 +88,11 @@
     return isolated;
   }
 
+  /** Returns the service beside this daemon, which upstreams are told of its callers. */
+  public Optional<String> callerService() {
+    return callerService;
+  }
+
   /** Returns whether a planned stop is under way. */
   public boolean isStopping() {
     return stopping;
@@ -118,6 +125,11 @@
     closed = true;
   }
 
+  /** Sets the service beside this daemon. */
+  public void setCallerService(Optional<String> service) {
+    callerService = requireNonNull(service, "service is null");
+  }
+
   /** Notes that a planned stop is under way. */
   public void setStopping() {
     stopping = true;
