--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Rehearsal.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Rehearsal.java
@@ -5,13 +5,13 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.link.Addresses;
+import org.parsleycart.link.FreePorts;
 import org.parsleycart.link.http.HttpCall;
 import org.parsleycart.link.http.HttpClient;
 import org.parsleycart.platform.standin.StoreStandin;
@@ -120,7 +120,7 @@
   }
 
   private static DaemonSettings settings(String store, String service) throws IOException {
-    List<Integer> ports = freePorts();
+    List<Integer> ports = FreePorts.find(PORTS);
     String text =
         """
         dialect: platform
@@ -143,18 +143,4 @@
                 store);
     return DaemonSettings.parse("rehearsal", text).get();
   }
-
-  private static List<Integer> freePorts() throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int index = 0; index < PORTS; index++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
 }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/TestMesh.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/TestMesh.java
@@ -4,7 +4,6 @@
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +14,7 @@
 import java.util.stream.Stream;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.link.Addresses;
+import org.parsleycart.link.FreePorts;
 import org.parsleycart.link.http.HttpAnswer;
 import org.parsleycart.link.http.HttpCall;
 import org.parsleycart.link.http.HttpClient;
@@ -63,7 +63,7 @@
   public Member add(String zone, String... seeds) throws IOException {
     for (int attempt = 0; attempt < BIND_ATTEMPTS; attempt++) {
       DaemonSettings settings =
-          DaemonSettings.parse("test", settingsText(zone, freePorts(4), seeds)).get();
+          DaemonSettings.parse("test", settingsText(zone, FreePorts.find(4), seeds)).get();
       try {
         Member member = new Member(Daemon.start(settings), settings);
         members.add(member);
@@ -95,20 +95,6 @@
             Stream.of(seeds).map(seed -> '"' + seed + '"').collect(Collectors.joining(", ")));
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int index = 0; index < count; index++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
-
   // -- queries
 
   /** Returns the daemon started as the given one. */
--- a/parsleycart-standin/src/main/java/org/parsleycart/standin/StandinMain.java
+++ b/parsleycart-standin/src/main/java/org/parsleycart/standin/StandinMain.java
@@ -1,16 +1,14 @@
 package org.parsleycart.standin;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.parsleycart.link.Addresses;
+import org.parsleycart.link.FreePorts;
 import org.parsleycart.link.LibraryLogs;
 import org.parsleycart.link.http.HttpClient;
 import org.parsleycart.model.document.JsonDocuments;
@@ -158,14 +156,7 @@
 
     @Override
     public Integer call() throws IOException {
-      List<ServerSocket> sockets = new ArrayList<>();
-      for (int index = 0; index < count; index++) {
-        sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-      }
-      for (ServerSocket socket : sockets) {
-        System.out.println(socket.getLocalPort());
-        socket.close();
-      }
+      FreePorts.find(count).forEach(System.out::println);
       return 0;
     }
   }
