--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -27,7 +27,6 @@
 import org.parsleycart.decision.admission.WaitingCall;
 import org.parsleycart.link.dialect.CallHeaderNames;
 import org.parsleycart.link.dialect.Dialect;
-import org.parsleycart.model.Contract;
 import org.parsleycart.model.Service;
 import org.parsleycart.model.document.Document;
 
@@ -90,14 +89,8 @@
   }
 
   private void offer(LocalUpstream upstream, LocalCall call) {
-    Contract contract = call.contract();
     WaitingCall<LocalCall> waiting =
-        new WaitingCall<>(
-            call,
-            contract.queueRank(),
-            call.route(),
-            clock.instant().plus(contract.latencyObjective()),
-            call.deadline());
+        new WaitingCall<>(call, call.contract().queueRank(), call.route(), call.deadline());
     // Heartbeats may come before the configuration, which tells what a cold upstream bears.
     upstream.admission().setColdCallsPerSecond(coldCallsPerSecond(upstream));
     call.cancellation().onCancel(() -> cancelWaiting(upstream, call));
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/LineWriter.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/LineWriter.java
@@ -65,11 +65,6 @@
     return added;
   }
 
-  /** Returns how many lines were dropped since that was last written. */
-  public long dropped() {
-    return dropped.get();
-  }
-
   private void run() {
     while (!stopped) {
       LockSupport.parkNanos(INTERVAL.toNanos());
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DialectName.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DialectName.java
@@ -13,6 +13,11 @@
     public Dialect create() {
       return new OwnDialect();
     }
+
+    @Override
+    public Duration patienceWithPlatform() {
+      return Duration.ZERO;
+    }
   },
   /** The platform's: operators write documents to its store, servers send heartbeats. */
   PLATFORM("platform") {
@@ -20,6 +25,11 @@
     public Dialect create() {
       return new PlatformDialect();
     }
+
+    @Override
+    public Duration patienceWithPlatform() {
+      return FEED_DELAY;
+    }
   };
 
   /** Above the usual delay of the platform's feed, and a third of the time for a version. */
@@ -32,9 +42,7 @@
   }
 
   /** Returns how long a daemon's own reading of the platform may take before peers are asked. */
-  public Duration patienceWithPlatform() {
-    return this == PLATFORM ? FEED_DELAY : Duration.ZERO;
-  }
+  public abstract Duration patienceWithPlatform();
 
   /** Returns the names and forms of this interface. */
   public abstract Dialect create();
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/WaitingCall.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/WaitingCall.java
@@ -12,24 +12,22 @@
  * @param call the caller's own object
  * @param rank the place in the queue; smaller runs first
  * @param route the name of the route
- * @param objective the time up to which an answer is worth most
  * @param deadline when an answer is of no use any more
  * @param <C> the type of the caller's object
  */
-public record WaitingCall<C>(C call, int rank, String route, Instant objective, Instant deadline) {
+public record WaitingCall<C>(C call, int rank, String route, Instant deadline) {
 
   // -- construction
 
   public WaitingCall {
     requireNonNull(call, "call is null");
     requireNonNull(route, "route is null");
-    requireNonNull(objective, "objective is null");
     requireNonNull(deadline, "deadline is null");
   }
 
-  /** Creates a call whose rank its kind implies and whose objective is its deadline. */
+  /** Creates a call whose rank its kind implies. */
   public WaitingCall(C call, RequestKind kind, String route, Instant deadline) {
-    this(call, kind.priority(), route, deadline, deadline);
+    this(call, kind.priority(), route, deadline);
   }
 
   // -- queries
