Read a document and collect its faults in one place

The same six lines, a list of faults, a reader over it and the choice at the end, stood in the heartbeat, the operators' documents, the store's rows and the announcements. MappingReader.read now serves them, and nestedEntries the mappings that held the list in hand. No behaviour changes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/UpstreamActions.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/UpstreamActions.java
@@ -5,7 +5,6 @@
 import io.undertow.util.StatusCodes;
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.parsleycart.daemon.call.LocalUpstreams;
@@ -48,14 +47,9 @@
   }
 
   private static Either<List<Problem>, Announcement> parse(OperatorRequest request) {
-    List<Problem> problems = new ArrayList<>();
-    return YamlDocuments.parse("announcement", request.body())
-        .flatMap(
-            document -> {
-              Announcement announcement =
-                  read(request.segment(1), MappingReader.of(document, problems));
-              return problems.isEmpty() ? Either.right(announcement) : Either.left(problems);
-            });
+    return MappingReader.read(
+        YamlDocuments.parse("announcement", request.body()),
+        reader -> read(request.segment(1), reader));
   }
 
   private static Announcement read(String identifier, MappingReader reader) {
--- a/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -56,6 +57,26 @@
     return new MappingReader(new Document.Mapping(document.place(), Map.of()), problems);
   }
 
+  /**
+   * Reads a whole document.
+   *
+   * @param parsed the document, or the faults of its form
+   * @param reading reads the entries; what it returns is meaningless when a fault was found
+   * @return what was read, or every fault
+   */
+  public static <T> Either<List<Problem>, T> read(
+      Either<List<Problem>, Document> parsed, Function<MappingReader, T> reading) {
+    requireNonNull(reading, "reading is null");
+    return parsed.flatMap(
+        document -> {
+          List<Problem> problems = new ArrayList<>();
+          T result = reading.apply(of(document, problems));
+          return problems.isEmpty()
+              ? Either.right(result)
+              : Either.<List<Problem>, T>left(List.copyOf(problems));
+        });
+  }
+
   /**
    * Returns a reader that gives names to the items of a list.
    *
@@ -209,6 +230,15 @@
         () -> new MappingReader(new Document.Mapping(place().child(key, 0), Map.of()), problems));
   }
 
+  /** Returns a reader over each mapping of the mapping under the key, empty when there is none. */
+  public Map<String, MappingReader> nestedEntries(String key) {
+    Map<String, MappingReader> readers = new LinkedHashMap<>();
+    if (document(key).orElse(null) instanceof Document.Mapping found) {
+      found.entries().forEach((name, node) -> readers.put(name, of(node, problems)));
+    }
+    return readers;
+  }
+
   /** Returns a reader over each mapping of the list under the key. */
   public List<MappingReader> nestedItems(String key) {
     return items(key, item -> MappingReader.of(item, problems));
