Index the rollouts of a service once for each configuration

The choice of a version went through all rollouts, and for each through all services with a fresh map of labels, on every call, to find a completed one. RolloutIndex finds the active, the completed and the held-back ones when the configuration is made, as RouteIndex does for routes. No behaviour changes.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/VersionChoice.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/VersionChoice.java
@@ -56,21 +56,13 @@
 
   private static VersionChoice withoutRollout(Configuration configuration, Service service) {
     VersionSelector inCharge = inCharge(configuration, service);
-    return movedTo(configuration, service)
+    return configuration
+        .versionMovedTo(service.name())
         .filter(moved -> service.version().isEmpty())
         .map(moved -> new VersionChoice(VersionSelector.only(moved), Optional.of(inCharge)))
         .orElseGet(() -> new VersionChoice(inCharge, Optional.empty()));
   }
 
-  /** Returns the version that the last rollout of the service brought into charge. */
-  private static Optional<String> movedTo(Configuration configuration, Service service) {
-    return configuration.rollouts().stream()
-        .filter(each -> each.phase() == RolloutPhase.DONE)
-        .filter(each -> each.target(configuration).equals(Optional.of(service)))
-        .map(Rollout::version)
-        .findFirst();
-  }
-
   /** Returns the version in charge, or all that no rollout holds back when none is. */
   private static VersionSelector inCharge(Configuration configuration, Service service) {
     return service
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -7,8 +7,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.EnumMap;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,8 +42,7 @@
   private final Map<String, Long> zoneChanges;
   private final RouteIndex routeIndex;
   private final Set<String> withdrawnZones;
-  private final Map<String, Rollout> activeRollouts;
-  private final Map<String, Set<String>> heldBackVersions;
+  private final RolloutIndex rolloutIndex;
 
   /**
    * The version that a change became.
@@ -68,8 +65,7 @@
     this.zoneChanges = Map.copyOf(earlierZoneChanges);
     this.routeIndex = RouteIndex.of(routes());
     this.withdrawnZones = findWithdrawnZones();
-    this.activeRollouts = findActiveRollouts();
-    this.heldBackVersions = findHeldBackVersions();
+    this.rolloutIndex = RolloutIndex.of(this);
   }
 
   /** Returns version 0, which holds nothing. */
@@ -194,34 +190,6 @@
         .collect(Collectors.toUnmodifiableSet());
   }
 
-  private Map<String, Rollout> findActiveRollouts() {
-    Map<String, Rollout> found = new TreeMap<>();
-    rollouts().stream()
-        .filter(rollout -> rollout.phase().isActive())
-        .forEach(
-            rollout ->
-                rollout
-                    .target(this)
-                    .ifPresent(service -> found.putIfAbsent(service.name(), rollout)));
-    return Collections.unmodifiableMap(found);
-  }
-
-  private Map<String, Set<String>> findHeldBackVersions() {
-    Map<String, Set<String>> found = new HashMap<>();
-    rollouts().stream()
-        .filter(rollout -> rollout.phase().isHoldingBack())
-        .forEach(
-            rollout ->
-                rollout
-                    .target(this)
-                    .ifPresent(
-                        service ->
-                            found
-                                .computeIfAbsent(service.name(), unused -> new HashSet<>())
-                                .add(rollout.version())));
-    return found;
-  }
-
   // -- queries
 
   /** Returns the version, counted from 1; 0 is the empty configuration. */
@@ -276,12 +244,17 @@
 
   /** Returns the rollout that moves the service now. */
   public Optional<Rollout> activeRollout(String service) {
-    return Optional.ofNullable(activeRollouts.get(service));
+    return rolloutIndex.active(service);
+  }
+
+  /** Returns the version that a completed rollout of the service brought in. */
+  public Optional<String> versionMovedTo(String service) {
+    return rolloutIndex.done(service).map(Rollout::version);
   }
 
   /** Returns the versions of a service that take no calls but those a rollout gives them. */
   public Set<String> heldBackVersions(String service) {
-    return heldBackVersions.getOrDefault(service, Set.of());
+    return rolloutIndex.heldBackVersions(service);
   }
 
   /** Returns the service with the given name. */
