Choose upstreams apart from the call, and do the work of a call once

On the path of a call the daemon beside an upstream read its headers twice, took the load under the lock on every admission although only refusals tell it, and both sides compiled the pattern of a deadline anew: each is done once or when needed. Two hops that differed in one set share a factory, and comments that repeat the interface's are gone from AdaptiveLimit. The load told with a refusal at the departure of an upstream is now that after its queue was emptied; no other behaviour changes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -78,44 +78,46 @@
     RequestBody.gather(
         exchange,
         replayableBodyBytes,
-        body -> submit(exchange, body, contract.get(), span),
-        cause -> {
-          IoUtils.safeClose(exchange.getConnection());
-          span.end(Outcome.NOT_RUN);
-        });
+        body ->
+            submit(
+                new LocalCall(
+                    exchange,
+                    body,
+                    identifier,
+                    upstream,
+                    routeName,
+                    contract.get(),
+                    deadline(exchange),
+                    span.traceParent(),
+                    Optional.empty(),
+                    new Cancellation(),
+                    new Answer(exchange, identifier, span)),
+                span),
+        cause -> abandon(exchange, span));
   }
 
-  private void submit(
-      HttpServerExchange exchange, RequestBody body, Contract contract, CallTracing.CallSpan span) {
-    String identifier = header(exchange, CallHeaders.REQUEST_IDENTIFIER);
-    Cancellation cancellation = new Cancellation();
-    if (body.isReplayable()) {
-      WatchedSource.watch(exchange, cancellation::cancel);
+  private void submit(LocalCall call, CallTracing.CallSpan span) {
+    Cancellation cancellation = call.cancellation();
+    if (call.body().isReplayable()) {
+      WatchedSource.watch(call.exchange(), cancellation::cancel);
     }
     if (cancellation.isCancelled()) {
-      IoUtils.safeClose(exchange.getConnection());
-      span.end(Outcome.NOT_RUN);
-      return;
+      abandon(call.exchange(), span);
+    } else {
+      admission.submit(call);
     }
-    admission.submit(
-        new LocalCall(
-            exchange,
-            body,
-            identifier,
-            header(exchange, CallHeaders.UPSTREAM),
-            header(exchange, CallHeaders.ROUTE),
-            contract,
-            deadline(exchange),
-            span.traceParent(),
-            Optional.empty(),
-            cancellation,
-            new Answer(exchange, identifier, span)));
+  }
+
+  private static void abandon(HttpServerExchange exchange, CallTracing.CallSpan span) {
+    IoUtils.safeClose(exchange.getConnection());
+    span.end(Outcome.NOT_RUN);
   }
 
   private Instant deadline(HttpServerExchange exchange) {
-    String text = header(exchange, CallHeaders.DEADLINE);
-    long milliseconds = text.matches("[0-9]{1,9}") ? Long.parseLong(text) : 0;
-    return clock.instant().plusMillis(Math.min(milliseconds, LONGEST_DEADLINE.toMillis()));
+    Duration stated =
+        CallHeaders.milliseconds(exchange.getRequestHeaders(), CallHeaders.DEADLINE)
+            .orElse(Duration.ZERO);
+    return clock.instant().plusMillis(Math.min(stated.toMillis(), LONGEST_DEADLINE.toMillis()));
   }
 
   private static String header(HttpServerExchange exchange, HttpString name) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -129,7 +129,7 @@
     admission
         .refuse()
         .forEach(refused -> noteRefusal(refused.call().call(), upstream, refused.reason()));
-    LocalUpstreams.refuseAll(upstream.admission().load(), admission);
+    LocalUpstreams.refuseAll(upstream, admission);
     admission
         .start()
         .forEach(waiting -> waiting.call().onOwnThread(() -> start(upstream, waiting.call())));
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -4,10 +4,13 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /** The headers that the mesh adds to calls, and the rules for passing on all others. */
 final class CallHeaders {
@@ -25,6 +28,8 @@
   static final HttpString IDEMPOTENCY_ATTEMPT = new HttpString("Idempotency-Attempt");
   static final HttpString TRACE_PARENT = new HttpString("traceparent");
 
+  private static final Pattern MILLISECONDS = Pattern.compile("[0-9]{1,9}");
+
   private static final Set<HttpString> HOP_BY_HOP =
       Set.of(
           Headers.CONNECTION,
@@ -57,6 +62,13 @@
     }
   }
 
+  /** Returns the whole milliseconds that a header states; empty also when it states none. */
+  static Optional<Duration> milliseconds(HeaderMap headers, HttpString name) {
+    return Optional.ofNullable(headers.getFirst(name))
+        .filter(text -> MILLISECONDS.matcher(text).matches())
+        .map(text -> Duration.ofMillis(Long.parseLong(text)));
+  }
+
   /** Adds the trace context of a call, unless there is none. */
   static void putTraceParent(Map<HttpString, String> headers, String traceParent) {
     if (!traceParent.isEmpty()) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -8,26 +8,17 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.random.RandomGenerator;
 import org.parsleycart.daemon.call.AttemptEnd.Fault;
 import org.parsleycart.daemon.report.CallTracing;
 import org.parsleycart.decision.Outcome;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.admission.RetryAdvice;
-import org.parsleycart.decision.membership.Rendezvous;
 import org.parsleycart.decision.routing.Candidate;
-import org.parsleycart.decision.routing.CandidatePool;
-import org.parsleycart.decision.routing.UpstreamDirectory;
 import org.parsleycart.decision.routing.UpstreamLoad;
-import org.parsleycart.decision.routing.VersionChoice;
-import org.parsleycart.model.Service;
 import org.parsleycart.model.document.Document;
 import org.xnio.IoUtils;
 
@@ -43,8 +34,7 @@
   private final EntryRequest request;
   private final CallTracing.CallSpan span;
   private final Cancellation cancellation = new Cancellation();
-  private final Optional<String> key;
-  private final Set<String> tried = new LinkedHashSet<>();
+  private final UpstreamChoice upstreams;
   private int arrivals;
   private int refusals;
   private boolean mayHaveRun;
@@ -63,7 +53,7 @@
     this.exchange = requireNonNull(exchange, "exchange is null");
     this.request = requireNonNull(request, "request is null");
     this.span = requireNonNull(span, "span is null");
-    this.key = keyOf(exchange, request);
+    this.upstreams = new UpstreamChoice(parts, request, keyOf(exchange, request));
   }
 
   // -- progress
@@ -101,12 +91,11 @@
     if (finished) {
       return;
     }
-    Optional<Candidate> candidate = choose();
+    Optional<Candidate> candidate = upstreams.next();
     if (candidate.isEmpty()) {
       giveUp();
       return;
     }
-    tried.add(candidate.get().identifier());
     UpstreamLoad load = parts.loads().of(candidate.get());
     load.started();
     if (candidate.get().daemon().equals(parts.identifier())) {
@@ -117,31 +106,6 @@
     }
   }
 
-  private Optional<Candidate> choose() {
-    Service service = request.service();
-    RandomGenerator versions =
-        key.<RandomGenerator>map(each -> new SplittableRandom(each.hashCode()))
-            .orElseGet(parts.random());
-    VersionChoice choice =
-        VersionChoice.of(request.configuration(), service, parts.state().facts(), versions);
-    UpstreamDirectory directory = parts.state().directory();
-    return choose(directory.pool(service.name(), choice.versions()))
-        .or(
-            () ->
-                choice.standIn().flatMap(others -> choose(directory.pool(service.name(), others))));
-  }
-
-  /** Chooses by load, or, for a request that must not run twice, always the same upstream. */
-  private Optional<Candidate> choose(CandidatePool pool) {
-    if (key.isPresent()) {
-      Optional<String> owner = Rendezvous.owner(pool.all().map(Candidate::identifier), key.get());
-      return tried.isEmpty()
-          ? pool.all().filter(each -> owner.equals(Optional.of(each.identifier()))).findFirst()
-          : Optional.empty();
-    }
-    return parts.selection().choose(pool, tried, parts.clock().instant(), parts.random().get());
-  }
-
   private static Optional<String> keyOf(HttpServerExchange exchange, EntryRequest request) {
     return request.contract().requestKind().isIdempotent()
         ? Optional.empty()
@@ -254,7 +218,7 @@
     Duration duration = Duration.between(request.arrivedAt(), parts.clock().instant());
     parts.metrics().ended(outcome, duration);
     log(outcome, duration);
-    span.with("parsleycart.attempts", Integer.toString(tried.size())).end(outcome);
+    span.with("parsleycart.attempts", Integer.toString(upstreams.tried().size())).end(outcome);
   }
 
   private void log(Outcome outcome, Duration duration) {
@@ -269,7 +233,7 @@
             .toLogFields(duration)
             .with("outcome", outcome.toString())
             .with("status", exchange.getStatusCode())
-            .with("upstreams", String.join(",", tried))
+            .with("upstreams", String.join(",", upstreams.tried()))
             .with("arrivals", arrivals + (answered ? 1 : 0))
             .with("refusals", refusals);
     if (!answered) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -132,10 +132,9 @@
 
   /** Returns how long the caller says that it waits. */
   private Duration statedTime(HttpServerExchange exchange) {
-    String text = exchange.getRequestHeaders().getFirst(parts.dialect().headers().deadline());
-    return text != null && text.matches("[0-9]{1,9}")
-        ? Duration.ofMillis(Long.parseLong(text))
-        : LONGEST_WAIT;
+    return CallHeaders.milliseconds(
+            exchange.getRequestHeaders(), parts.dialect().headers().deadline())
+        .orElse(LONGEST_WAIT);
   }
 
   private String identifierOf(HttpServerExchange exchange) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Hop.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Hop.java
@@ -34,19 +34,17 @@
 
   /** Returns the hop from the entry itself to an upstream beside it. */
   public static Hop fromEntryToUpstream(Dialect dialect) {
-    return new Hop(
-        dialect.headers().requestIdentifier(),
-        dialect.isNamedByCaller(),
-        dialect.isNamedByCaller(),
-        dialect.headers().setByMesh());
+    return toUpstream(dialect, dialect.headers().setByMesh());
   }
 
   /** Returns the hop to an upstream of a call that came from another daemon. */
   public static Hop fromDaemonToUpstream(Dialect dialect) {
-    return new Hop(
-        dialect.headers().requestIdentifier(),
-        dialect.isNamedByCaller(),
-        dialect.isNamedByCaller(),
-        Set.of(dialect.headers().deadline(), dialect.headers().expectedInstance()));
+    return toUpstream(
+        dialect, Set.of(dialect.headers().deadline(), dialect.headers().expectedInstance()));
+  }
+
+  private static Hop toUpstream(Dialect dialect, Set<HttpString> replaced) {
+    boolean named = dialect.isNamedByCaller();
+    return new Hop(dialect.headers().requestIdentifier(), named, named, replaced);
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -165,7 +165,7 @@
     if (gone == null) {
       return false;
     }
-    refuseAll(gone.admission().load(), gone.admission().close(RefusalReason.UPSTREAM_GONE));
+    refuseAll(gone, gone.admission().close(RefusalReason.UPSTREAM_GONE));
     changed.run();
     return true;
   }
@@ -179,18 +179,13 @@
             .map(upstream -> upstream.announced().identifier())
             .toList();
     lapsed.forEach(this::leave);
-    upstreams
-        .values()
-        .forEach(upstream -> refuseAll(upstream.admission().load(), upstream.admission().expire()));
+    upstreams.values().forEach(upstream -> refuseAll(upstream, upstream.admission().expire()));
     return lapsed;
   }
 
   /** Closes admission to all upstreams, as when the zone is withdrawn. */
   public void closeAll(RefusalReason reason) {
-    upstreams
-        .values()
-        .forEach(
-            upstream -> refuseAll(upstream.admission().load(), upstream.admission().close(reason)));
+    upstreams.values().forEach(upstream -> refuseAll(upstream, upstream.admission().close(reason)));
   }
 
   /** Opens admission to all upstreams again; they start cold. */
@@ -198,7 +193,12 @@
     upstreams.values().forEach(upstream -> upstream.admission().open());
   }
 
-  static void refuseAll(LoadReport load, Admission<LocalCall> admission) {
+  /** Refuses what admission decided to refuse, and tells the load that is left. */
+  static void refuseAll(LocalUpstream upstream, Admission<LocalCall> admission) {
+    if (admission.refuse().isEmpty()) {
+      return;
+    }
+    LoadReport load = upstream.admission().load();
     admission
         .refuse()
         .forEach(
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdaptiveLimit.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdaptiveLimit.java
@@ -63,25 +63,21 @@
 
   // -- queries
 
-  /** Returns the number of calls that may run at once. */
   @Override
   public int current() {
     return (int) limit;
   }
 
-  /** Returns the condition that the limit stands for. */
   @Override
   public UpstreamCondition condition() {
     return condition;
   }
 
-  /** Returns how often the upstream fell back to cold. */
   @Override
   public long coldReturns() {
     return coldReturns;
   }
 
-  /** Returns the usual latency on a route, zero before the first answer. */
   @Override
   public Duration usualLatency(String route) {
     double nanoseconds = baselineNanoseconds.getOrDefault(route, 0.0);
@@ -90,13 +86,6 @@
 
   // -- events
 
-  /**
-   * Takes note of a whole answer.
-   *
-   * @param route the route of the call
-   * @param latency from the start of the call at the upstream to its whole answer
-   * @param running how many calls were running, this one included
-   */
   @Override
   public void answered(String route, Duration latency, int running) {
     requireNonNull(route, "route is null");
@@ -114,20 +103,17 @@
     }
   }
 
-  /** Takes note of a connection that failed, or an answer that broke off. */
   @Override
   public void failed() {
     returnToCold();
   }
 
-  /** Takes note of an answer that says that the upstream has too much to do. */
   @Override
   public void shed() {
     limit = Math.max(coldLimit, limit * STRONGEST_SHRINK);
     startRound();
   }
 
-  /** Starts again at the cold limit, as after a return of the zone. */
   @Override
   public void restart() {
     baselineNanoseconds.clear();
