Let a few watchers in each zone read the platform, the others learn by gossip

Cause: every daemon held a feed at the platform's store.

Change: two watchers in each zone, by rendezvous, wait at the store. Gossip tells with each head how long ago it was known to be the newest; a daemon that has heard of no confirmation for longer than gossip explains reads the store itself. Versions stated as a whole travel between daemons as what differs.

Ruled out: longer waits at the feed on every daemon; a connection that went silent would be noticed too late where all of them are.

--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/DecisionBenchmarks.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/DecisionBenchmarks.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -127,6 +128,7 @@
         new Gossip(
             "10.0.0.1:7402",
             new Head(1, "0123456789abcdef"),
+            Optional.of(Duration.ofMillis(700)),
             List.of(members.get(0)),
             List.of(members.get(1).toStatusUpdate()),
             List.of());
--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/SpreadTrial.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/SpreadTrial.java
@@ -21,6 +21,7 @@
 import org.parsleycart.decision.message.Head;
 import org.parsleycart.decision.message.Outgoing;
 import org.parsleycart.decision.message.VersionedChange;
+import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.decision.spreading.PullPlanner;
 import org.parsleycart.decision.spreading.UrgentFacts;
 import org.parsleycart.link.Envelope;
@@ -125,6 +126,7 @@
             clock,
             new Random(random.nextLong()),
             () -> headOf(holder[0] == null ? 0 : holder[0].version),
+            new Freshness(),
             new UrgentFacts(),
             pullPlanner);
     holder[0] = new Node(self.identifier(), protocol, pullPlanner);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
@@ -1,9 +1,11 @@
 package org.parsleycart.daemon;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.parsleycart.daemon.control.ControlAnswers;
 import org.parsleycart.daemon.control.DurableFacts;
 import org.parsleycart.daemon.control.FeedDuty;
@@ -21,6 +23,7 @@
 import org.parsleycart.decision.membership.MemberStatus;
 import org.parsleycart.decision.membership.MembershipTable;
 import org.parsleycart.decision.routing.LoadBoard;
+import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.decision.spreading.PollSchedule;
 import org.parsleycart.decision.spreading.PullPlanner;
 import org.parsleycart.link.Addresses;
@@ -74,7 +77,16 @@
     FrameClient frames = new FrameClient(envelope, counters);
     PullDuty pulls = new PullDuty(frames, state.log(), clock);
     DatagramLink datagrams = DatagramLink.open(settings.addresses().control(), envelope, counters);
-    GossipDuty gossip = gossipDuty(settings, state, loads, clock, pulls, datagrams);
+    Freshness freshness = new Freshness();
+    AtomicBoolean watching = new AtomicBoolean();
+    PullPlanner planner =
+        new PullPlanner(
+            settings.identifier(),
+            new Random(),
+            state.log()::knownThrough,
+            () -> watching.get() ? settings.dialect().patienceWithPlatform() : Duration.ZERO);
+    GossipDuty gossip =
+        gossipDuty(settings, state, loads, freshness, clock, planner, pulls, datagrams);
     PlatformParts platform = PlatformParts.create(settings, state.log(), clock);
     PlatformDuty platformDuty =
         new PlatformDuty(
@@ -85,6 +97,7 @@
             new FirstPeers(platform.services().table(), settings.seeds(), new Random()),
             new DurableFacts(state, platform.authority()),
             new PollSchedule(clock.instant(), new Random()),
+            freshness,
             clock,
             new Random());
     InForceSurvey survey = new InForceSurvey(state, frames);
@@ -98,7 +111,14 @@
         platform.authority(),
         platform.clock(),
         platformDuty,
-        new FeedDuty(platform.authority(), platformDuty, new Random()),
+        new FeedDuty(
+            platform.authority(),
+            platformDuty,
+            gossip::view,
+            freshness,
+            watching,
+            clock,
+            new Random()),
         survey,
         answers);
   }
@@ -107,16 +127,12 @@
       DaemonSettings settings,
       MeshState state,
       LoadBoard loads,
+      Freshness freshness,
       InstantSource clock,
+      PullPlanner planner,
       PullDuty pulls,
       DatagramLink datagrams) {
     Random random = new Random();
-    PullPlanner planner =
-        new PullPlanner(
-            settings.identifier(),
-            random,
-            state.log()::knownThrough,
-            settings.dialect().patienceWithPlatform());
     GossipProtocol protocol =
         new GossipProtocol(
             new MembershipTable(selfRecord(settings, clock), clock.instant()),
@@ -124,6 +140,7 @@
             clock,
             random,
             state.log()::head,
+            freshness,
             state.facts(),
             planner);
     return new GossipDuty(protocol, planner, datagrams, state, loads, clock, pulls);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/FeedDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/FeedDuty.java
@@ -4,12 +4,22 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.parsleycart.decision.spreading.FeedSchedule;
+import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.store.ConfigurationAuthority;
 import org.parsleycart.store.PlatformError;
+import org.tinylog.Logger;
 
-/** The duty that waits at the platform for new versions, when the platform lets readers wait. */
+/**
+ * The duty that reads new versions at the platform, when the platform lets readers wait: all the
+ * time at a watcher, and elsewhere only when gossip does not tell that the version held is the
+ * newest.
+ */
 public final class FeedDuty {
   /**
    * How long a read waits for news. A connection that went silent is noticed after this time and
@@ -19,20 +29,51 @@
   private static final Duration WAIT = Duration.ofMillis(1800);
 
   private static final Duration SHORTEST_PAUSE = Duration.ofMillis(50);
-  private static final Duration LONGEST_PAUSE = Duration.ofMillis(800);
+  private static final Duration LONGEST_PAUSE_OF_WATCHER = Duration.ofMillis(800);
+
+  /** A daemon that is no watcher leaves the platform to the watchers while it fails. */
+  private static final Duration LONGEST_PAUSE = Duration.ofMillis(2500);
+
+  /** How often a daemon that is no watcher looks whether it has to read. */
+  private static final Duration LOOK_INTERVAL = Duration.ofMillis(400);
 
   private final ConfigurationAuthority authority;
   private final PlatformDuty platform;
+  private final Supplier<MembershipView> members;
+  private final Freshness freshness;
+  private final AtomicBoolean watching;
+  private final InstantSource clock;
   private final RandomGenerator random;
   private final DutyLoop loop;
   private Duration pause = SHORTEST_PAUSE;
 
   // -- construction
 
-  /** Creates the duty; {@link #start} starts its thread. */
-  public FeedDuty(ConfigurationAuthority authority, PlatformDuty platform, RandomGenerator random) {
+  /**
+   * Creates the duty; {@link #start} starts its thread.
+   *
+   * @param authority reads the platform
+   * @param platform told of each read
+   * @param members gives the members known
+   * @param freshness told of confirmations, and tells how old the last one is
+   * @param watching set to whether this daemon is a watcher
+   * @param clock the time
+   * @param random spreads the reads of several daemons
+   */
+  public FeedDuty(
+      ConfigurationAuthority authority,
+      PlatformDuty platform,
+      Supplier<MembershipView> members,
+      Freshness freshness,
+      AtomicBoolean watching,
+      InstantSource clock,
+      RandomGenerator random) {
     this.authority = requireNonNull(authority, "authority is null");
     this.platform = requireNonNull(platform, "platform is null");
+    this.members = requireNonNull(members, "members is null");
+    this.freshness = requireNonNull(freshness, "freshness is null");
+    this.watching = requireNonNull(watching, "watching is null");
+    this.clock = requireNonNull(clock, "clock is null");
     this.random = requireNonNull(random, "random is null");
     this.loop = new DutyLoop("feed", this::step);
   }
@@ -52,15 +93,38 @@
   // -- operation
 
   private void step() {
-    Either<PlatformError, Integer> result = authority.catchUp(WAIT);
+    MembershipView view = members.get();
+    noteRole(FeedSchedule.isWatcher(view.alive().toList(), view.self()));
+    if (watching.get()) {
+      read(WAIT, LONGEST_PAUSE_OF_WATCHER);
+    } else if (FeedSchedule.isReadDue(freshness.age(clock.instant()), view.size())) {
+      read(Duration.ZERO, LONGEST_PAUSE);
+    } else {
+      pauseAbout(LOOK_INTERVAL);
+    }
+  }
+
+  private void noteRole(boolean nowWatching) {
+    if (watching.getAndSet(nowWatching) != nowWatching) {
+      Logger.info(nowWatching ? "watching the platform" : "leaving the platform to others");
+    }
+  }
+
+  private void read(Duration wait, Duration longestPause) {
+    Either<PlatformError, Integer> result = authority.catchUp(wait);
     platform.platformRead(result);
     if (result.isRight()) {
+      freshness.confirmed(clock.instant());
       pause = SHORTEST_PAUSE;
       return;
     }
-    long nanoseconds = pause.toNanos();
-    LockSupport.parkNanos(nanoseconds / 2 + random.nextLong(nanoseconds));
+    pauseAbout(pause);
     Duration doubled = pause.multipliedBy(2);
-    pause = doubled.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : doubled;
+    pause = doubled.compareTo(longestPause) > 0 ? longestPause : doubled;
+  }
+
+  private void pauseAbout(Duration duration) {
+    long nanoseconds = duration.toNanos();
+    LockSupport.parkNanos(nanoseconds / 2 + random.nextLong(nanoseconds));
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformDuty.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.decision.spreading.PollSchedule;
 import org.parsleycart.decision.spreading.StartConfirmation;
 import org.parsleycart.link.BoundedRing;
@@ -41,6 +42,7 @@
   private final FirstPeers firstPeers;
   private final DurableFacts durableFacts;
   private final PollSchedule schedule;
+  private final Freshness freshness;
   private final StartConfirmation confirmation = new StartConfirmation();
   private final InstantSource clock;
   private final RandomGenerator random;
@@ -64,6 +66,7 @@
       FirstPeers firstPeers,
       DurableFacts durableFacts,
       PollSchedule schedule,
+      Freshness freshness,
       InstantSource clock,
       RandomGenerator random) {
     this.state = requireNonNull(state, "state is null");
@@ -73,6 +76,7 @@
     this.firstPeers = requireNonNull(firstPeers, "firstPeers is null");
     this.durableFacts = requireNonNull(durableFacts, "durableFacts is null");
     this.schedule = requireNonNull(schedule, "schedule is null");
+    this.freshness = requireNonNull(freshness, "freshness is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.random = requireNonNull(random, "random is null");
     Instant now = clock.instant();
@@ -189,7 +193,8 @@
     boolean isolated =
         gossip.knowsOtherZones()
             && gossip.lastHeardOutsideZone().isBefore(oldest)
-            && lastPlatformAnswer.isBefore(oldest);
+            && lastPlatformAnswer.isBefore(oldest)
+            && freshness.age(now).filter(age -> age.compareTo(ISOLATION_AFTER) <= 0).isEmpty();
     if (isolated != state.isIsolated()) {
       state.setIsolated(isolated);
       Logger.info(isolated ? "isolated: refusing new work" : "no longer isolated");
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
@@ -1,7 +1,9 @@
 package org.parsleycart.decision.membership;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.parsleycart.decision.message.Gossip;
 import org.parsleycart.decision.message.Head;
@@ -17,6 +19,7 @@
   private final MembershipTable table;
   private final GossipSettings settings;
   private final Supplier<Head> head;
+  private final Supplier<Optional<Duration>> confirmationAge;
   private final UrgentFacts urgentFacts;
   private final DisseminationQueue<String> members = new DisseminationQueue<>();
   private final DisseminationQueue<ResourceReference> urgentSubjects = new DisseminationQueue<>();
@@ -27,10 +30,12 @@
       MembershipTable table,
       GossipSettings settings,
       Supplier<Head> head,
+      Supplier<Optional<Duration>> confirmationAge,
       UrgentFacts urgentFacts) {
     this.table = table;
     this.settings = settings;
     this.head = head;
+    this.confirmationAge = confirmationAge;
     this.urgentFacts = urgentFacts;
   }
 
@@ -66,7 +71,9 @@
     subjects.forEach(subject -> urgentSubjects.sent(subject, fleet));
     List<UrgentFact> urgent =
         subjects.stream().flatMap(subject -> urgentFacts.find(subject).stream()).toList();
-    return new Gossip(table.self().identifier(), head.get(), records, statuses, urgent);
+    Head held = head.get();
+    return new Gossip(
+        table.self().identifier(), held, confirmationAge.get(), records, statuses, urgent);
   }
 
   /** Adds a record, whole when its content matters, unless the datagram is full of its like. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
@@ -20,6 +20,7 @@
 import org.parsleycart.decision.message.Head;
 import org.parsleycart.decision.message.Outgoing;
 import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.decision.spreading.PullPlanner;
 import org.parsleycart.decision.spreading.UrgentFacts;
 
@@ -41,6 +42,7 @@
   private final InstantSource clock;
   private final RandomGenerator random;
   private final Supplier<Head> head;
+  private final Freshness freshness;
   private final UrgentFacts urgentFacts;
   private final PullPlanner pulls;
   private final GossipComposer composer;
@@ -62,6 +64,8 @@
    * @param clock the time
    * @param random the source of choices
    * @param head gives the configuration version to announce
+   * @param freshness tells, and learns from others, when that version was last known to be the
+   *     newest
    * @param urgentFacts the facts to pass on and to merge into
    * @param pulls told of the heads of others
    */
@@ -71,6 +75,7 @@
       InstantSource clock,
       RandomGenerator random,
       Supplier<Head> head,
+      Freshness freshness,
       UrgentFacts urgentFacts,
       PullPlanner pulls) {
     this.table = requireNonNull(table, "table is null");
@@ -78,9 +83,12 @@
     this.clock = requireNonNull(clock, "clock is null");
     this.random = requireNonNull(random, "random is null");
     this.head = requireNonNull(head, "head is null");
+    this.freshness = requireNonNull(freshness, "freshness is null");
     this.urgentFacts = requireNonNull(urgentFacts, "urgentFacts is null");
     this.pulls = requireNonNull(pulls, "pulls is null");
-    this.composer = new GossipComposer(table, settings, head, urgentFacts);
+    this.composer =
+        new GossipComposer(
+            table, settings, head, () -> freshness.age(clock.instant()), urgentFacts);
     Instant now = clock.instant();
     this.nextProbe = now.plus(jittered(settings.probeInterval()));
     this.lastTick = now;
@@ -234,6 +242,7 @@
     queueStatusOfSource(gossip.source());
     takeUrgent(gossip.urgent());
     pulls.noteHead(gossip.source(), gossip.head(), head.get());
+    freshness.peerTold(gossip.head(), gossip.confirmationAge(), head.get(), now);
     table
         .find(gossip.source())
         .filter(record -> !record.zone().equals(table.self().zone()))
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/Rendezvous.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/Rendezvous.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -22,11 +23,23 @@
    * @param key the key
    */
   public static Optional<String> owner(Stream<String> members, String key) {
+    return owners(members, key, 1).stream().findFirst();
+  }
+
+  /**
+   * Returns the members that are responsible for a key together, the first one in front.
+   *
+   * @param members identifiers of the members to choose from
+   * @param key the key
+   * @param count the most members to return
+   */
+  public static List<String> owners(Stream<String> members, String key, int count) {
     requireNonNull(members, "members is null");
     requireNonNull(key, "key is null");
-    return members.max(
+    Comparator<String> order =
         Comparator.<String>comparingLong(member -> weight(member, key))
-            .thenComparing(Comparator.naturalOrder()));
+            .thenComparing(Comparator.naturalOrder());
+    return members.sorted(order.reversed()).limit(count).toList();
   }
 
   private static long weight(String member, String key) {
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/Gossip.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/Gossip.java
@@ -2,7 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.parsleycart.decision.membership.MemberRecord;
 import org.parsleycart.decision.membership.StatusUpdate;
 
@@ -11,6 +13,7 @@
  *
  * @param source the identifier of the sender
  * @param head the newest configuration version that the sender holds
+ * @param confirmationAge how long ago that was known to be the newest at the platform, if known
  * @param records member records passed on whole
  * @param statuses member statuses passed on without content
  * @param urgent facts that spread without the platform
@@ -18,6 +21,7 @@
 public record Gossip(
     String source,
     Head head,
+    Optional<Duration> confirmationAge,
     List<MemberRecord> records,
     List<StatusUpdate> statuses,
     List<UrgentFact> urgent) {
@@ -27,6 +31,7 @@
   public Gossip {
     requireNonNull(source, "source is null");
     requireNonNull(head, "head is null");
+    requireNonNull(confirmationAge, "confirmationAge is null");
     records = List.copyOf(records);
     statuses = List.copyOf(statuses);
     urgent = List.copyOf(urgent);
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
@@ -6,12 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationAnswer;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
 import org.parsleycart.decision.message.Head;
 import org.parsleycart.decision.message.SnapshotBytes;
 import org.parsleycart.decision.message.VersionedChange;
 import org.parsleycart.model.Configuration;
+import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.model.Digest;
 
 /**
@@ -76,7 +78,7 @@
     boolean complete =
         request.afterVersion() >= 0
             && !missing.isEmpty()
-            && missing.get(0).version() == request.afterVersion() + 1;
+            && missing.get(0).previous() == request.afterVersion();
     return complete
         ? new ConfigurationAnswer(head, missing, Optional.empty())
         : new ConfigurationAnswer(
@@ -129,12 +131,26 @@
     requireNonNull(stated, "stated is null");
     boolean isNews = stated.version() > state.configuration().version();
     if (isNews) {
-      state = new State(stated, stated.digest(), List.of());
+      Digest digest = stated.digest();
+      state = new State(stated, digest, changesUpTo(stated, digest));
     }
     noteRead(readThrough);
     return isNews;
   }
 
+  /** Returns the changes for peers, with the one to a version that was stated as a whole. */
+  private List<VersionedChange> changesUpTo(Configuration stated, Digest digest) {
+    Configuration held = state.configuration();
+    if (held.version() == 0) {
+      return List.of();
+    }
+    ConfigurationChange difference = held.differenceTo(stated);
+    return withOneMore(
+        state.changes(),
+        new VersionedChange(
+            stated.version(), 0, difference, digest, OptionalLong.of(held.version())));
+  }
+
   /** Takes note that the platform was read up to a version and held nothing new. */
   public synchronized void noteRead(long readThrough) {
     knownThrough = Math.max(knownThrough, readThrough);
@@ -149,16 +165,18 @@
   public synchronized Either<SpreadingError, Boolean> append(VersionedChange accepted) {
     requireNonNull(accepted, "accepted is null");
     State held = state;
-    long expected = held.configuration().version() + 1;
-    if (accepted.version() < expected) {
+    long version = held.configuration().version();
+    if (accepted.version() <= Math.max(version, knownThrough)) {
       return Either.right(false);
     }
-    if (accepted.version() > expected) {
-      return Either.left(new SpreadingError.Gap(expected, accepted.version()));
+    if (accepted.previous() != version) {
+      return Either.left(new SpreadingError.Gap(version + 1, accepted.version()));
     }
-    return held.configuration()
-        .apply(accepted.change())
-        .mapLeft(violations -> (SpreadingError) new SpreadingError.Invalid(expected, violations))
+    return accepted
+        .applyTo(held.configuration())
+        .mapLeft(
+            violations ->
+                (SpreadingError) new SpreadingError.Invalid(accepted.version(), violations))
         .flatMap(next -> install(next, accepted, held.changes()));
   }
 
@@ -168,11 +186,16 @@
     if (!digest.equals(accepted.digest())) {
       return Either.left(new SpreadingError.DigestMismatch(next.version()));
     }
+    state = new State(next, digest, withOneMore(kept, accepted));
+    return Either.right(true);
+  }
+
+  private static List<VersionedChange> withOneMore(
+      List<VersionedChange> kept, VersionedChange newest) {
     List<VersionedChange> changes =
         new ArrayList<>(kept.subList(Math.max(0, kept.size() + 1 - KEPT_CHANGES), kept.size()));
-    changes.add(accepted);
-    state = new State(next, digest, List.copyOf(changes));
-    return Either.right(true);
+    changes.add(newest);
+    return List.copyOf(changes);
   }
 
   /** Takes a whole snapshot whose head is known from elsewhere. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
 import org.parsleycart.decision.message.Head;
@@ -36,7 +37,7 @@
   private final String self;
   private final RandomGenerator random;
   private final LongSupplier knownThrough;
-  private final Duration patience;
+  private final Supplier<Duration> patience;
   private final Map<String, Head> peersAhead = new HashMap<>();
   private Optional<Pull> inFlight = Optional.empty();
   private Instant notBefore = Instant.MIN;
@@ -50,7 +51,7 @@
 
   /** Creates a planner for the daemon with the given identifier. */
   public PullPlanner(String self, RandomGenerator random) {
-    this(self, random, () -> 0, Duration.ZERO);
+    this(self, random, () -> 0, () -> Duration.ZERO);
   }
 
   /**
@@ -59,10 +60,11 @@
    * @param self the identifier of the daemon
    * @param random the source of choices
    * @param knownThrough gives the version up to which nothing is missing, whatever peers announce
-   * @param patience how long the daemon's own reading may take before peers are asked
+   * @param patience how long the daemon's own reading may take before peers are asked; nothing
+   *     while it reads nothing
    */
   public PullPlanner(
-      String self, RandomGenerator random, LongSupplier knownThrough, Duration patience) {
+      String self, RandomGenerator random, LongSupplier knownThrough, Supplier<Duration> patience) {
     this.self = requireNonNull(self, "self is null");
     this.random = requireNonNull(random, "random is null");
     this.knownThrough = requireNonNull(knownThrough, "knownThrough is null");
@@ -117,7 +119,8 @@
       return Optional.empty();
     }
     behindSince = behindSince.or(() -> Optional.of(now));
-    boolean waiting = now.isBefore(notBefore) || now.isBefore(behindSince.get().plus(patience));
+    boolean waiting =
+        now.isBefore(notBefore) || now.isBefore(behindSince.get().plus(patience.get()));
     if (inFlight.isPresent() || waiting) {
       return Optional.empty();
     }
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/FakeNetwork.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/FakeNetwork.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import java.util.stream.IntStream;
 import org.parsleycart.decision.message.Head;
 import org.parsleycart.decision.message.Outgoing;
+import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.decision.spreading.PullPlanner;
 import org.parsleycart.decision.spreading.UrgentFacts;
 import org.threeten.extra.MutableClock;
@@ -24,6 +26,7 @@
   private final MutableClock clock = MutableClock.of(START, java.time.ZoneOffset.UTC);
   private final Random random;
   private final List<GossipProtocol> members = new ArrayList<>();
+  private final Map<Integer, Freshness> freshness = new HashMap<>();
   private final Set<Integer> silent = new HashSet<>();
   private final List<Delivery> inFlight = new ArrayList<>();
   private BiPredicate<Integer, Integer> cut = (source, target) -> false;
@@ -53,6 +56,7 @@
         clock,
         new Random(random.nextLong()),
         () -> new Head(0, "0000000000000000"),
+        freshness.computeIfAbsent(index, unused -> new Freshness()),
         new UrgentFacts(),
         new PullPlanner(identifier(index), new Random(random.nextLong())));
   }
@@ -65,6 +69,10 @@
     return members;
   }
 
+  Freshness freshness(int index) {
+    return freshness.get(index);
+  }
+
   Instant now() {
     return clock.instant();
   }
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/GossipProtocolTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/GossipProtocolTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.BiPredicate;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,6 +27,20 @@
     assertThat(network.members()).allMatch(member -> member.alive().count() == 5);
   }
 
+  @Test
+  void shouldTellAllMembersThatTheConfigurationIsTheNewest() {
+    network.freshness(0).confirmed(network.now());
+
+    network.advance(Duration.ofSeconds(3));
+
+    assertThat(IntStream.range(0, network.members().size()).mapToObj(network::freshness))
+        .allMatch(
+            each ->
+                each.age(network.now())
+                    .filter(age -> age.compareTo(Duration.ofSeconds(3)) <= 0)
+                    .isPresent());
+  }
+
   @Test
   void shouldDeclareAMemberDeadWithinTenSecondsWhenItDies() {
     network.stop(0);
--- /dev/null
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/FeedScheduleTest.java
@@ -0,0 +1,93 @@
+package org.parsleycart.decision.spreading;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.parsleycart.decision.membership.MemberRecord;
+import org.parsleycart.decision.membership.MemberStatus;
+
+class FeedScheduleTest {
+  private static final int ZONES = 4;
+
+  private static List<MemberRecord> fleet(int size) {
+    return IntStream.range(0, size)
+        .mapToObj(
+            index ->
+                new MemberRecord(
+                    "10.0." + index + ".1:7000",
+                    1,
+                    0,
+                    MemberStatus.ALIVE,
+                    "zone-" + index % ZONES,
+                    "10.0." + index + ".1:7001",
+                    Map.of(),
+                    List.of()))
+        .toList();
+  }
+
+  private static List<MemberRecord> watchers(List<MemberRecord> alive) {
+    return alive.stream().filter(member -> FeedSchedule.isWatcher(alive, member)).toList();
+  }
+
+  @Nested
+  class IsWatcher {
+    @ParameterizedTest
+    @ValueSource(ints = {8, 77, 5300})
+    void shouldChooseTheSameNumberInEachZoneWhateverTheFleet(int size) {
+      List<MemberRecord> watchers = watchers(fleet(size));
+
+      assertThat(watchers).hasSize(ZONES * FeedSchedule.WATCHERS_PER_ZONE);
+      IntStream.range(0, ZONES)
+          .forEach(
+              zone ->
+                  assertThat(watchers.stream().filter(each -> each.zone().equals("zone-" + zone)))
+                      .hasSize(FeedSchedule.WATCHERS_PER_ZONE));
+    }
+
+    @Test
+    void shouldReplaceOnlyTheWatcherThatDied() {
+      List<MemberRecord> fleet = fleet(77);
+      List<MemberRecord> before = watchers(fleet);
+      MemberRecord dead = before.get(0);
+
+      List<MemberRecord> after =
+          watchers(fleet.stream().filter(member -> !member.equals(dead)).toList());
+
+      assertThat(after).hasSameSizeAs(before).containsAll(before.subList(1, before.size()));
+    }
+
+    @Test
+    void shouldChooseADaemonThatKnowsNobodyElse() {
+      assertThat(watchers(fleet(1))).hasSize(1);
+    }
+  }
+
+  @Nested
+  class IsReadDue {
+    @Test
+    void shouldReadWhenNothingWasEverConfirmed() {
+      assertThat(FeedSchedule.isReadDue(Optional.empty(), 77)).isTrue();
+    }
+
+    @Test
+    void shouldReadOnlyWhenTheConfirmationIsOlderThanGossipExplains() {
+      Duration patience = FeedSchedule.patience(77);
+
+      assertThat(FeedSchedule.isReadDue(Optional.of(patience), 77)).isFalse();
+      assertThat(FeedSchedule.isReadDue(Optional.of(patience.plusMillis(1)), 77)).isTrue();
+    }
+
+    @Test
+    void shouldReadWithinTheTimeForAVersionAtTheTargetSize() {
+      assertThat(FeedSchedule.patience(5300)).isLessThan(Duration.ofSeconds(7));
+    }
+  }
+}
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/PullPlannerTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/PullPlannerTest.java
@@ -15,7 +15,7 @@
   private static final Duration PATIENCE = Duration.ofMillis(600);
   private final AtomicLong knownThrough = new AtomicLong();
   private final PullPlanner planner =
-      new PullPlanner("self", new Random(1), knownThrough::get, PATIENCE);
+      new PullPlanner("self", new Random(1), knownThrough::get, () -> PATIENCE);
 
   private static Head head(long version) {
     return new Head(version, "d" + version);
--- /dev/null
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/StatedVersionsTest.java
@@ -0,0 +1,93 @@
+package org.parsleycart.decision.spreading;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.parsleycart.decision.message.ControlMessage.ConfigurationAnswer;
+import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
+import org.parsleycart.model.AvailabilityZone;
+import org.parsleycart.model.Configuration;
+
+/** Versions that another writer states as a whole, on their way between daemons. */
+class StatedVersionsTest {
+  private final ConfigurationLog reader = ConfigurationLog.empty();
+  private final ConfigurationLog peer = ConfigurationLog.empty();
+
+  private static Configuration stated(long version, String... zones) {
+    return Configuration.of(
+            version, Stream.of(zones).map(zone -> new AvailabilityZone(zone, Map.of())).toList())
+        .get();
+  }
+
+  private ConfigurationAnswer answerTo(long afterVersion) {
+    return reader.answer(new ConfigurationRequest("peer", afterVersion));
+  }
+
+  @Test
+  void shouldTravelAsWhatDiffersWhenThePeerHoldsTheVersionBefore() {
+    reader.adopt(stated(10, "abdali", "marka"), 10);
+    peer.receive(answerTo(-1));
+    reader.adopt(stated(17, "abdali", "khalda"), 17);
+
+    ConfigurationAnswer answer = answerTo(10);
+
+    assertThat(answer.snapshot()).isEmpty();
+    assertThat(answer.changes()).hasSize(1);
+    assertThat(answer.changes().get(0).change().touched()).hasSize(2);
+    assertThat(peer.receive(answer).get()).isEqualTo(1);
+    assertThat(peer.head()).isEqualTo(reader.head());
+  }
+
+  @Test
+  void shouldTravelAllAtOnceWhenThePeerMissedSeveral() {
+    reader.adopt(stated(10, "abdali"), 10);
+    peer.receive(answerTo(-1));
+    IntStream.range(0, 5)
+        .forEach(index -> reader.adopt(stated(20 + 3 * index, "abdali", "zone-" + index), 40));
+
+    assertThat(peer.receive(answerTo(10)).get()).isEqualTo(5);
+
+    assertThat(peer.head()).isEqualTo(reader.head());
+    assertThat(peer.answer(new ConfigurationRequest("third", 20)).changes()).hasSize(4);
+  }
+
+  @Test
+  void shouldTravelAsASnapshotWhenThePeerHoldsAVersionThatIsNotKnown() {
+    reader.adopt(stated(10, "abdali"), 10);
+    reader.adopt(stated(20, "abdali", "marka"), 20);
+    peer.adopt(stated(12, "weiz"), 12);
+
+    ConfigurationAnswer answer = answerTo(12);
+
+    assertThat(answer.snapshot()).isPresent();
+    assertThat(peer.receive(answer).get()).isEqualTo(1);
+    assertThat(peer.head()).isEqualTo(reader.head());
+  }
+
+  @Test
+  void shouldTakeNoChangeUpToWhereThePlatformWasReadHere() {
+    reader.adopt(stated(10, "abdali"), 10);
+    peer.receive(answerTo(-1));
+    reader.adopt(stated(15, "marka"), 15);
+    peer.noteRead(16);
+
+    assertThat(peer.receive(answerTo(10)).get()).isZero();
+
+    assertThat(peer.current().version()).isEqualTo(10);
+  }
+
+  @Test
+  void shouldNeverGoBackWhenAnOlderVersionIsStated() {
+    reader.adopt(stated(10, "abdali"), 10);
+
+    assertThat(reader.adopt(stated(9, "marka"), 10)).isFalse();
+
+    assertThat(reader.current().zones())
+        .extracting(AvailabilityZone::name)
+        .isEqualTo(List.of("abdali"));
+  }
+}
--- a/parsleycart-link/src/main/java/org/parsleycart/link/ChangeCodec.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/ChangeCodec.java
@@ -18,6 +18,8 @@
   private static final ConfigurationChange NOTHING =
       new ConfigurationChange("", "", List.of(), List.of());
 
+  private static final String STATED_AFTER = "statedAfter";
+
   private ChangeCodec() {}
 
   // -- documents
@@ -25,12 +27,14 @@
   /** Returns the document form. */
   public static Document.Mapping toDocument(VersionedChange accepted) {
     requireNonNull(accepted, "accepted is null");
-    return Document.mapping()
-        .with("version", accepted.version())
-        .with("acceptedAt", accepted.acceptedAt())
-        .with("digest", accepted.digest().hexadecimal())
-        .with("change", accepted.change().toDocument())
-        .build();
+    Document.MappingBuilder builder =
+        Document.mapping()
+            .with("version", accepted.version())
+            .with("acceptedAt", accepted.acceptedAt())
+            .with("digest", accepted.digest().hexadecimal())
+            .with("change", accepted.change().toDocument());
+    accepted.statedAfter().ifPresent(before -> builder.with(STATED_AFTER, before));
+    return builder.build();
   }
 
   /** Reads the document form. */
@@ -41,7 +45,10 @@
         reader.requiredNumber("version", 1, Long.MAX_VALUE),
         reader.requiredNumber("acceptedAt", 0, Long.MAX_VALUE),
         readChange(reader, problems),
-        new Digest(reader.requiredText("digest")));
+        new Digest(reader.requiredText("digest")),
+        reader.number(STATED_AFTER, 0, Long.MAX_VALUE).stream()
+            .mapToLong(Long::longValue)
+            .findFirst());
   }
 
   private static ConfigurationChange readChange(MappingReader reader, List<Problem> problems) {
--- a/parsleycart-link/src/main/java/org/parsleycart/link/GossipCodec.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/GossipCodec.java
@@ -1,5 +1,6 @@
 package org.parsleycart.link;
 
+import java.time.Duration;
 import java.util.List;
 import org.parsleycart.decision.membership.MemberRecord;
 import org.parsleycart.decision.membership.StatusUpdate;
@@ -17,6 +18,8 @@
   private static final String RECORDS = "records";
   private static final String STATUSES = "statuses";
   private static final String URGENT = "urgent";
+  private static final String CONFIRMED = "confirmedMillisecondsAgo";
+  private static final long LONGEST_AGE_MILLISECONDS = Duration.ofDays(36500).toMillis();
   private static final List<String> FACT_KEYS =
       List.of("kind", "name", "epoch", "counter", "restrictive", "reason");
 
@@ -27,6 +30,7 @@
   static void write(Gossip gossip, Document.MappingBuilder builder) {
     builder.with("source", gossip.source());
     writeHead(gossip.head(), builder);
+    gossip.confirmationAge().ifPresent(age -> builder.with(CONFIRMED, age.toMillis()));
     writeRecords(gossip.records(), builder);
     if (!gossip.statuses().isEmpty()) {
       builder.with(
@@ -40,6 +44,7 @@
     return new Gossip(
         reader.requiredText("source"),
         readHead(reader),
+        reader.number(CONFIRMED, 0, LONGEST_AGE_MILLISECONDS).map(Duration::ofMillis),
         readRecords(reader, problems),
         reader.items(STATUSES, item -> StatusUpdate.from(item, problems)),
         readUrgent(reader, problems));
--- a/parsleycart-link/src/test/java/org/parsleycart/link/EnvelopeTest.java
+++ b/parsleycart-link/src/test/java/org/parsleycart/link/EnvelopeTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,6 +50,7 @@
       new Gossip(
           "10.0.0.1:7402",
           new Head(7, "0123456789abcdef"),
+          Optional.of(Duration.ofMillis(700)),
           List.of(RECORD),
           List.of(RECORD.toStatusUpdate()),
           List.of(
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -128,6 +128,37 @@
     return violations.isEmpty() ? Either.right(result) : Either.left(violations);
   }
 
+  /**
+   * Builds a version that another writer stated as a whole, told as what differs from this one.
+   *
+   * @param newVersion the version, at least 1
+   * @param difference what {@link #differenceTo} gave
+   * @return the version, or every violation in it
+   */
+  public Either<List<Violation>, Configuration> restate(
+      long newVersion, ConfigurationChange difference) {
+    requireNonNull(difference, "difference is null");
+    Set<ResourceReference> touched = difference.touched();
+    Stream<Resource> kept = all().filter(resource -> !touched.contains(resource.reference()));
+    return of(newVersion, Stream.concat(kept, difference.upserts().stream()).toList());
+  }
+
+  /** Returns what a later version that was stated as a whole puts and removes. */
+  public ConfigurationChange differenceTo(Configuration later) {
+    requireNonNull(later, "later is null");
+    List<Resource> upserts =
+        later
+            .all()
+            .filter(resource -> !resource(resource.reference()).equals(Optional.of(resource)))
+            .toList();
+    List<ResourceReference> removals =
+        all()
+            .map(Resource::reference)
+            .filter(reference -> later.resource(reference).isEmpty())
+            .toList();
+    return new ConfigurationChange("stated-" + later.version, "operators", upserts, removals);
+  }
+
   /**
    * Applies a change as a whole.
    *
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Contract.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Contract.java
@@ -28,9 +28,14 @@
     OptionalInt rank)
     implements Resource {
   private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(2);
-  private static final long MAXIMUM_ATTEMPTS = 5;
+
+  /** The most attempts that a contract may allow: each is load on a service that may be failing. */
+  public static final int MAXIMUM_ATTEMPTS = 5;
+
+  /** The largest rank, that of the calls to run last. */
+  public static final int LARGEST_RANK = 1000;
+
   private static final long DEFAULT_ATTEMPTS = 3;
-  private static final long LARGEST_RANK = 1000;
   private static final Duration LONGEST_DEADLINE = Duration.ofMinutes(5);
 
   // -- construction
--- a/parsleycart-model/src/main/java/org/parsleycart/model/document/Durations.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/Durations.java
@@ -31,14 +31,16 @@
    * @return the duration, or empty when the text has another form or means zero
    */
   public static Optional<Duration> parse(String text) {
+    return parseOrZero(text).filter(duration -> !duration.isZero());
+  }
+
+  /** Parses a duration that may be zero; empty when the text has another form. */
+  public static Optional<Duration> parseOrZero(String text) {
     requireNonNull(text, "text is null");
     Matcher matcher = FORM.matcher(text);
-    if (!matcher.matches()) {
-      return Optional.empty();
-    }
-    Duration unit = UNITS.get(matcher.group(2));
-    Duration duration = unit.multipliedBy(Long.parseLong(matcher.group(1)));
-    return duration.isZero() ? Optional.empty() : Optional.of(duration);
+    return matcher.matches()
+        ? Optional.of(UNITS.get(matcher.group(2)).multipliedBy(Long.parseLong(matcher.group(1))))
+        : Optional.empty();
   }
 
   /** Returns the text form of a duration, in milliseconds. */
--- a/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
@@ -193,6 +193,14 @@
         value -> Durations.parse(value.toString()));
   }
 
+  /** Returns the duration under the key, which may be zero. */
+  public Optional<Duration> durationOrZero(String key) {
+    return scalar(
+        key,
+        "a duration such as 0ms, 250ms, 2s, 10m or 1h",
+        value -> Durations.parseOrZero(value.toString()));
+  }
+
   /** Returns the constant whose {@code toString} stands under the key. */
   public <E extends Enum<E>> Optional<E> constant(String key, Class<E> type) {
     List<E> constants = List.of(type.getEnumConstants());
