Give the slots of an upstream with a standing queue to calls that can be answered in time

Cause: under lasting overload the queue grew until calls met their deadline and not their objective.

Ruled out: a shorter queue alone, which refuses bursts that the upstream would catch up with.

Change: a queue that has not been empty for 200 ms stands; while others wait, a call that cannot be answered before its objective is refused at once. Shorter bursts are queued up to the deadline as before.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -90,7 +90,12 @@
 
   private void offer(LocalUpstream upstream, LocalCall call) {
     WaitingCall<LocalCall> waiting =
-        new WaitingCall<>(call, call.contract().queueRank(), call.route(), call.deadline());
+        new WaitingCall<>(
+            call,
+            call.contract().queueRank(),
+            call.route(),
+            call.contract().lateAt(call.deadline()),
+            call.deadline());
     // Heartbeats may come before the configuration, which tells what a cold upstream bears.
     upstream.admission().setColdCallsPerSecond(coldCallsPerSecond(upstream));
     call.cancellation().onCancel(() -> cancelWaiting(upstream, call));
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -27,6 +27,12 @@
    */
   private static final Duration SUSPECTED_COLD = Duration.ofSeconds(3);
 
+  /**
+   * A queue that has not been empty for this long stands: more work comes than the upstream can do.
+   * A burst that the upstream catches up with is shorter; the usual objectives are above it.
+   */
+  private static final Duration STANDING = Duration.ofMillis(200);
+
   private final AdmissionSettings settings;
   private final InstantSource clock;
   private final ConcurrencyLimit limit;
@@ -35,6 +41,7 @@
   private final ColdStart coldStart;
   private int running;
   private Instant coldSince;
+  private Instant lastEmptyQueue;
 
   // -- construction
 
@@ -44,6 +51,7 @@
     this.clock = requireNonNull(clock, "clock is null");
     this.limit = settings.newLimit(slots);
     this.coldSince = clock.instant();
+    this.lastEmptyQueue = coldSince;
     this.coldStart = new ColdStart(OptionalDouble.empty(), coldSince);
   }
 
@@ -60,11 +68,14 @@
     if (closed.isPresent()) {
       return Admission.ofRefusal(call, closed.get());
     }
-    if (!coldStart.isOpen(clock.instant())) {
+    Instant now = clock.instant();
+    if (!coldStart.isOpen(now)) {
       return Admission.ofRefusal(call, RefusalReason.COLD);
     }
-    if (cannotMeetDeadline(call, clock.instant().plus(expectedWait(call)))) {
-      return Admission.ofRefusal(call, RefusalReason.DEADLINE);
+    lastEmptyQueue = queue.isEmpty() ? now : lastEmptyQueue;
+    Optional<RefusalReason> tooLate = tooLate(call, now.plus(expectedWait(call)), queue.size());
+    if (tooLate.isPresent()) {
+      return Admission.ofRefusal(call, tooLate.get());
     }
     List<Admission.Refused<C>> refused = new ArrayList<>();
     queue.add(call);
@@ -151,11 +162,9 @@
     Instant now = clock.instant();
     queue.removeIf(
         call -> {
-          boolean late = cannotMeetDeadline(call, now);
-          if (late) {
-            refused.add(new Admission.Refused<>(call, RefusalReason.DEADLINE));
-          }
-          return late;
+          Optional<RefusalReason> tooLate = tooLate(call, now, queue.size() - 1);
+          tooLate.ifPresent(reason -> refused.add(new Admission.Refused<>(call, reason)));
+          return tooLate.isPresent();
         });
     return new Admission<>(List.of(), refused);
   }
@@ -189,9 +198,10 @@
     List<WaitingCall<C>> started = new ArrayList<>();
     Instant now = clock.instant();
     while (running < limit.current() && !queue.isEmpty() && coldStart.isOpen(now)) {
+      Optional<RefusalReason> tooLate = tooLate(queue.peek(), now, queue.size() - 1);
       WaitingCall<C> next = queue.poll();
-      if (cannotMeetDeadline(next, now)) {
-        refused.add(new Admission.Refused<>(next, RefusalReason.DEADLINE));
+      if (tooLate.isPresent()) {
+        refused.add(new Admission.Refused<>(next, tooLate.get()));
       } else {
         running++;
         coldStart.started(now);
@@ -211,9 +221,22 @@
     return limit.usualLatency(call.route()).multipliedBy(ahead).dividedBy(limit.current());
   }
 
-  private boolean cannotMeetDeadline(WaitingCall<C> call, Instant now) {
-    Duration usual = limit.usualLatency(call.route());
-    return now.plus(usual).isAfter(call.deadline());
+  /**
+   * Returns why a call that starts at a time is not worth its slot: its answer would come after the
+   * deadline, or would be late while calls stand in line that can still be answered in time.
+   */
+  private Optional<RefusalReason> tooLate(WaitingCall<C> call, Instant start, int othersWaiting) {
+    Instant end = start.plus(limit.usualLatency(call.route()));
+    if (end.isAfter(call.deadline())) {
+      return Optional.of(RefusalReason.DEADLINE);
+    }
+    return othersWaiting > 0 && isStanding() && end.isAfter(call.lateAt())
+        ? Optional.of(RefusalReason.LATE)
+        : Optional.empty();
+  }
+
+  private boolean isStanding() {
+    return clock.instant().isAfter(lastEmptyQueue.plus(STANDING));
   }
 
   // -- queries
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/WaitingCall.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/WaitingCall.java
@@ -12,22 +12,24 @@
  * @param call the caller's own object
  * @param rank the place in the queue; smaller runs first
  * @param route the name of the route
+ * @param lateAt when an answer becomes late, at most the deadline
  * @param deadline when an answer is of no use any more
  * @param <C> the type of the caller's object
  */
-public record WaitingCall<C>(C call, int rank, String route, Instant deadline) {
+public record WaitingCall<C>(C call, int rank, String route, Instant lateAt, Instant deadline) {
 
   // -- construction
 
   public WaitingCall {
     requireNonNull(call, "call is null");
     requireNonNull(route, "route is null");
+    requireNonNull(lateAt, "lateAt is null");
     requireNonNull(deadline, "deadline is null");
   }
 
-  /** Creates a call whose rank its kind implies. */
+  /** Creates a call whose rank its kind implies and whose answer is of full use up to its end. */
   public WaitingCall(C call, RequestKind kind, String route, Instant deadline) {
-    this(call, kind.priority(), route, deadline);
+    this(call, kind.priority(), route, deadline, deadline);
   }
 
   // -- queries
