Bound what callers may send by the configuration; refuse nested calls last when the daemon is behind

The limits of the operators' document (bytes of headers and bodies, time for a head, idle time) take effect: 431 and 413 at once, timeouts for connections that open after the change.

A thread that is behind measures calls by the shortest deadline of the configuration: those are the calls that upstreams make while they run others, and one refused costs its parent too.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -69,7 +69,10 @@
     Daemon daemon = new Daemon(settings, parts, frames, server);
     parts.startDuties();
     ListenAddresses addresses = settings.addresses();
-    server.listen(addresses.callers(), parts.entryHandler());
+    server.listen(
+        addresses.callers(),
+        parts.entryHandler(),
+        () -> parts.state().configuration().callerLimits());
     server.listen(addresses.daemons(), parts.admissionHandler());
     server.listen(addresses.operators(), parts.operatorHandler());
     if (addresses.readiness().isPresent()) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -89,25 +89,13 @@
     LocalEvidence evidence = new LocalEvidence(reports.evidence(), upstreams);
     ControlParts control = ControlParts.create(settings, keys, state, loads, evidence, clock);
     Acceptance acceptance = new Acceptance(control.authority(), control.gossip());
-    JudgingDuty judging =
-        new JudgingDuty(
-            state,
-            control.gossip(),
-            control.platformDuty(),
-            new RolloutChanges(state, acceptance::accept),
-            evidence,
-            control.frames(),
-            control.platformClock());
-
     Forwarder forwarder = new Forwarder(pools, clock);
     CallSignature signature = new CallSignature(keys);
     Dialect dialect = settings.dialect().create();
     AdmissionService admission = admission(state, upstreams, forwarder, dialect, reports, clock);
     ReadDelays delays = new ReadDelays(clock);
     EntryParts entryParts =
-        entryParts(
-            settings, dialect, state, loads, admission, forwarder, signature, reports, delays,
-            clock);
+        entryParts(settings, state, loads, admission, forwarder, signature, reports, delays, clock);
     CallsInProgress callsInProgress = new CallsInProgress();
     DaemonMetrics.register(
         reports.registry(),
@@ -124,7 +112,7 @@
         upstreams,
         callsInProgress,
         new UpkeepDuty(state, upstreams, control.gossip(), reports.events()),
-        judging,
+        judgingDuty(state, control, acceptance, evidence),
         callsInProgress.counting(new EntryHandler(entryParts)),
         new AdmissionHandler(
             state,
@@ -141,6 +129,18 @@
             operatorHandler(state, reports, control, acceptance, upstreams, loads, clock)));
   }
 
+  private static JudgingDuty judgingDuty(
+      MeshState state, ControlParts control, Acceptance acceptance, LocalEvidence evidence) {
+    return new JudgingDuty(
+        state,
+        control.gossip(),
+        control.platformDuty(),
+        new RolloutChanges(state, acceptance::accept),
+        evidence,
+        control.frames(),
+        control.platformClock());
+  }
+
   private static AdmissionSettings admissionSettings(DaemonLimits limits) {
     return new AdmissionSettings(limits.coldLimit(), limits.queueLength(), limits.trustsSlots());
   }
@@ -166,7 +166,6 @@
 
   private static EntryParts entryParts(
       DaemonSettings settings,
-      Dialect dialect,
       MeshState state,
       LoadBoard loads,
       AdmissionService admission,
@@ -175,6 +174,7 @@
       Reports reports,
       ReadDelays delays,
       MonotonicClock clock) {
+    Dialect dialect = settings.dialect().create();
     return new EntryParts(
         state,
         settings.identifier(),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
@@ -8,10 +8,13 @@
 import io.undertow.server.protocol.http.HttpOpenListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.parsleycart.daemon.settings.DaemonLimits;
+import org.parsleycart.model.CallerLimits;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -83,10 +86,23 @@
 
   /** Listens at an address. */
   public void listen(InetSocketAddress address, HttpHandler handler) throws IOException {
+    listen(address, handler, CallerLimits::none);
+  }
+
+  /**
+   * Listens at an address for callers.
+   *
+   * @param address the address
+   * @param handler takes the requests
+   * @param limits gives how long those may take that connect from now on
+   */
+  public void listen(InetSocketAddress address, HttpHandler handler, Supplier<CallerLimits> limits)
+      throws IOException {
     HttpOpenListener opening = new HttpOpenListener(buffers, serverOptions);
     opening.setRootHandler(requireNonNull(handler, "handler is null"));
     ChannelListener<StreamConnection> watching =
         connection -> {
+          opening.setUndertowOptions(withTimeouts(limits.get()));
           WatchedSource.install(connection);
           opening.handleEvent(connection);
         };
@@ -103,6 +119,26 @@
     listeners.add(listener);
   }
 
+  private OptionMap withTimeouts(CallerLimits limits) {
+    if (limits.headerTimeout().isEmpty() && limits.idleTimeout().isEmpty()) {
+      return serverOptions;
+    }
+    OptionMap.Builder builder = OptionMap.builder().addAll(serverOptions);
+    limits
+        .headerTimeout()
+        .ifPresent(
+            longest -> builder.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, milliseconds(longest)));
+    limits
+        .idleTimeout()
+        .ifPresent(
+            longest -> builder.set(UndertowOptions.NO_REQUEST_TIMEOUT, milliseconds(longest)));
+    return builder.getMap();
+  }
+
+  private static int milliseconds(Duration duration) {
+    return (int) Math.min(Integer.MAX_VALUE, duration.toMillis());
+  }
+
   /** Closes all listeners and connections; later calls do nothing. */
   public void stop() {
     if (!stopped.compareAndSet(false, true)) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -53,7 +53,8 @@
     Optional<RefusalReason> fault =
         exchange.isHostIncludedInRequestURI()
             ? Optional.of(RefusalReason.BAD_REQUEST)
-            : RequestFraming.fault(exchange, parts.limits().maximumBodyBytes());
+            : RequestFraming.fault(
+                exchange, configuration.callerLimits(), parts.limits().maximumBodyBytes());
     Optional<Route> route =
         configuration.routeFor(hostOf(exchange), exchange.getRequestPath(), state.labels());
     Optional<Service> service =
@@ -64,7 +65,14 @@
     Optional<RefusalReason> refusal =
         fault
             .or(() -> refusal(state, service, contract))
-            .or(() -> overload(delay, exchange, contract.get(), arrivedAt, now));
+            .or(
+                () -> {
+                  Instant deadline = deadline(exchange, contract.get(), arrivedAt);
+                  Duration useful = usefulTime(configuration, contract.get(), deadline, now);
+                  return delay.makesTooLate(useful, now)
+                      ? Optional.of(RefusalReason.OVERLOADED)
+                      : Optional.empty();
+                });
     if (refusal.isPresent()) {
       refuse(exchange, identifier, refusal.get(), arrivedAt);
       return;
@@ -106,16 +114,19 @@
         : Optional.of(RefusalReason.NO_ROUTE);
   }
 
-  private Optional<RefusalReason> overload(
-      ReadDelay delay,
-      HttpServerExchange exchange,
-      Contract contract,
-      Instant arrivedAt,
-      Instant now) {
-    Instant lateAt = contract.lateAt(deadline(exchange, contract, arrivedAt));
-    return delay.makesTooLate(Duration.between(now, lateAt), now)
-        ? Optional.of(RefusalReason.OVERLOADED)
-        : Optional.empty();
+  /**
+   * Returns how long reads may take until a call is of little use. Calls with the shortest deadline
+   * are those that upstreams make while they run others: they count until their deadline, and the
+   * others only as long as those can still be answered.
+   */
+  private static Duration usefulTime(
+      Configuration configuration, Contract contract, Instant deadline, Instant now) {
+    Duration shortest = configuration.shortestDeadline().orElse(contract.deadline());
+    if (contract.deadline().equals(shortest)) {
+      return Duration.between(now, deadline);
+    }
+    Duration untilLate = Duration.between(now, contract.lateAt(deadline));
+    return untilLate.compareTo(shortest) < 0 ? untilLate : shortest;
   }
 
   private void refuse(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestFraming.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestFraming.java
@@ -6,13 +6,21 @@
 import io.undertow.util.Headers;
 import java.util.Optional;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.model.CallerLimits;
 
-/** Refuses requests whose length can be read in two ways or exceeds the limit. */
+/** Refuses requests whose length can be read in two ways or exceeds a limit. */
 final class RequestFraming {
   private RequestFraming() {}
 
-  /** Returns why the request is refused, if it is. */
-  static Optional<RefusalReason> fault(HttpServerExchange exchange, long maximumBodyBytes) {
+  /**
+   * Returns why the request is refused, if it is.
+   *
+   * @param exchange the exchange
+   * @param limits what callers may send
+   * @param maximumBodyBytes the largest body whatever the limits say
+   */
+  static Optional<RefusalReason> fault(
+      HttpServerExchange exchange, CallerLimits limits, long maximumBodyBytes) {
     HeaderMap headers = exchange.getRequestHeaders();
     HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
     HeaderValues encodings = headers.get(Headers.TRANSFER_ENCODING);
@@ -25,9 +33,22 @@
     if (encodings != null && !isChunkedOnly(encodings)) {
       return Optional.of(RefusalReason.BAD_REQUEST);
     }
-    return exchange.getRequestContentLength() > maximumBodyBytes
-        ? Optional.of(RefusalReason.TOO_LARGE)
-        : Optional.empty();
+    long mostBytes = Math.min(limits.bodyBytes().orElse(maximumBodyBytes), maximumBodyBytes);
+    if (exchange.getRequestContentLength() > mostBytes) {
+      return Optional.of(RefusalReason.TOO_LARGE);
+    }
+    boolean longHead =
+        limits.headerBytes().isPresent() && bytes(headers) > limits.headerBytes().getAsLong();
+    return longHead ? Optional.of(RefusalReason.HEADERS_TOO_LARGE) : Optional.empty();
+  }
+
+  private static long bytes(HeaderMap headers) {
+    long total = 0;
+    for (HeaderValues values : headers) {
+      int nameLength = values.getHeaderName().length();
+      total += values.stream().mapToInt(value -> nameLength + value.length()).sum();
+    }
+    return total;
   }
 
   private static boolean isChunkedOnly(HeaderValues encodings) {
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -26,7 +26,8 @@
   NOT_READY("not-ready", 503),
   UNREACHABLE("unreachable", 503),
   BAD_REQUEST("bad-request", 400),
-  TOO_LARGE("too-large", 413);
+  TOO_LARGE("too-large", 413),
+  HEADERS_TOO_LARGE("headers-too-large", 431);
 
   private static final int TEMPORARILY_UNAVAILABLE = 503;
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
@@ -144,7 +144,7 @@
     if (held.version() == 0) {
       return List.of();
     }
-    ConfigurationChange difference = held.differenceTo(stated);
+    ConfigurationChange difference = ConfigurationChange.between(held, stated);
     return withOneMore(
         state.changes(),
         new VersionedChange(
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -3,9 +3,11 @@
 import static java.util.Objects.requireNonNull;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +45,7 @@
   private final RouteIndex routeIndex;
   private final Set<String> withdrawnZones;
   private final RolloutIndex rolloutIndex;
+  private final Optional<Duration> shortestDeadline;
 
   /**
    * The version that a change became.
@@ -66,6 +69,10 @@
     this.routeIndex = RouteIndex.of(routes());
     this.withdrawnZones = findWithdrawnZones();
     this.rolloutIndex = RolloutIndex.of(this);
+    this.shortestDeadline =
+        section(ResourceKind.CONTRACT, Contract.class).stream()
+            .map(Contract::deadline)
+            .min(Comparator.naturalOrder());
   }
 
   /** Returns version 0, which holds nothing. */
@@ -132,7 +139,7 @@
    * Builds a version that another writer stated as a whole, told as what differs from this one.
    *
    * @param newVersion the version, at least 1
-   * @param difference what {@link #differenceTo} gave
+   * @param difference what {@link ConfigurationChange#between} gave
    * @return the version, or every violation in it
    */
   public Either<List<Violation>, Configuration> restate(
@@ -143,22 +150,6 @@
     return of(newVersion, Stream.concat(kept, difference.upserts().stream()).toList());
   }
 
-  /** Returns what a later version that was stated as a whole puts and removes. */
-  public ConfigurationChange differenceTo(Configuration later) {
-    requireNonNull(later, "later is null");
-    List<Resource> upserts =
-        later
-            .all()
-            .filter(resource -> !resource(resource.reference()).equals(Optional.of(resource)))
-            .toList();
-    List<ResourceReference> removals =
-        all()
-            .map(Resource::reference)
-            .filter(reference -> later.resource(reference).isEmpty())
-            .toList();
-    return new ConfigurationChange("stated-" + later.version, "operators", upserts, removals);
-  }
-
   /**
    * Applies a change as a whole.
    *
@@ -298,6 +289,11 @@
     return find(ResourceKind.CONTRACT, name, Contract.class);
   }
 
+  /** Returns the shortest deadline of all contracts. */
+  public Optional<Duration> shortestDeadline() {
+    return shortestDeadline;
+  }
+
   /** Returns the contract of the route with the given name. */
   public Optional<Contract> contractOfRoute(String routeName) {
     return route(routeName).flatMap(route -> contract(route.contract()));
@@ -318,6 +314,13 @@
     return find(reference.kind(), reference.name(), Resource.class);
   }
 
+  /** Returns what callers may send; nothing is bounded when no limits are stated. */
+  public CallerLimits callerLimits() {
+    return section(ResourceKind.CALLER_LIMITS, CallerLimits.class).stream()
+        .findFirst()
+        .orElse(CallerLimits.none());
+  }
+
   /** Returns all services. */
   public Collection<Service> services() {
     return section(ResourceKind.SERVICE, Service.class);
--- a/parsleycart-model/src/main/java/org/parsleycart/model/ConfigurationChange.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/ConfigurationChange.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -63,6 +64,24 @@
         : Either.left(List.copyOf(problems));
   }
 
+  /** Returns what a later version that was stated as a whole puts and removes. */
+  public static ConfigurationChange between(Configuration earlier, Configuration later) {
+    requireNonNull(earlier, "earlier is null");
+    requireNonNull(later, "later is null");
+    List<Resource> upserts =
+        later
+            .all()
+            .filter(each -> !earlier.resource(each.reference()).equals(Optional.of(each)))
+            .toList();
+    List<ResourceReference> removals =
+        earlier
+            .all()
+            .map(Resource::reference)
+            .filter(reference -> later.resource(reference).isEmpty())
+            .toList();
+    return new ConfigurationChange("stated-" + later.version(), "operators", upserts, removals);
+  }
+
   private static List<Resource> readSection(
       MappingReader reader, ResourceKind kind, List<Problem> problems) {
     return reader.items(kind.section(), item -> kind.read(item, problems));
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Resource.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Resource.java
@@ -5,7 +5,7 @@
 
 /** A named part of a configuration. */
 public sealed interface Resource
-    permits AvailabilityZone, Contract, Rollout, Route, Service, Withdrawal {
+    permits CallerLimits, AvailabilityZone, Contract, Rollout, Route, Service, Withdrawal {
 
   /** Returns the name, unique among resources of one kind. */
   String name();
--- a/parsleycart-model/src/main/java/org/parsleycart/model/ResourceKind.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/ResourceKind.java
@@ -44,6 +44,12 @@
     Resource read(MappingReader reader) {
       return Withdrawal.from(reader);
     }
+  },
+  CALLER_LIMITS("callerLimits") {
+    @Override
+    Resource read(MappingReader reader) {
+      return CallerLimits.from(reader);
+    }
   };
 
   private final String section;
