End an attempt before its connection is closed; let a call through to an upstream that was slow

Cause: closing a connection tells its exchange at once that it broke, so that attempts out of time, or without their caller, ended as broken by the upstream: 502, the upstream set aside, evidence against its version, a retry charged. And a usual latency above the deadline refused every call of a route for good.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -237,12 +237,20 @@
             .with("arrivals", arrivals + (answered ? 1 : 0))
             .with("refusals", refusals);
     if (!answered) {
-      fields.with("reason", late ? "deadline" : lastRefusal.toString());
+      fields.with("reason", reasonOfEnd());
       fields.with("callerLeft", cancellation.isCancelled());
     }
     parts.log().write("call-ended", request.identifier(), fields);
   }
 
+  /** Returns why there is no answer: the deadline, what became of the last attempt, a refusal. */
+  private String reasonOfEnd() {
+    if (late) {
+      return "deadline";
+    }
+    return mayHaveRun ? "no-whole-answer" : lastRefusal.toString();
+  }
+
   private void noteEnd(UpstreamLoad load, AttemptEnd end) {
     load.ended();
     if (end.delivered() && end.status().isPresent()) {
@@ -352,13 +360,13 @@
       }
       String reason = response.getResponseHeaders().getFirst(CallHeaders.REASON);
       lastRefusal = RefusalReason.ofLabel(reason).orElse(RefusalReason.UNREACHABLE);
-      return Optional.of(new AttemptEnd(outcome, false, faultOf(outcome), status));
+      return Optional.of(new AttemptEnd(outcome, false, faultOf(outcome, reason), status));
     }
 
     /** Tells a refusal of the upstream from one of the daemon beside it, which is no arrival. */
-    private Fault faultOf(Outcome outcome) {
+    private Fault faultOf(Outcome outcome, String reason) {
       if (outcome == Outcome.UNKNOWN) {
-        return Fault.BROKEN;
+        return Fault.LATE.name().equals(reason) ? Fault.LATE : Fault.BROKEN;
       }
       return lastRefusal == RefusalReason.REFUSED_BY_UPSTREAM
           ? Fault.REFUSED_BY_UPSTREAM
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Forwarding.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Forwarding.java
@@ -270,29 +270,39 @@
   }
 
   private void broken() {
-    pool.discard(connection);
-    end(AttemptEnd.failed(Outcome.UNKNOWN, Fault.BROKEN));
+    endClosing(AttemptEnd.failed(Outcome.UNKNOWN, Fault.BROKEN));
   }
 
   private void callerGone() {
-    if (connection != null) {
-      pool.discard(connection);
-    }
+    endClosing(new AttemptEnd(Outcome.UNKNOWN, true, Fault.CALLER_GONE, OptionalInt.empty()));
     IoUtils.safeClose(attempt.exchange().getConnection());
-    end(new AttemptEnd(Outcome.UNKNOWN, true, Fault.CALLER_GONE, OptionalInt.empty()));
   }
 
   private void late() {
-    pool.discard(connection);
     if (delivering) {
+      endClosing(new AttemptEnd(Outcome.UNKNOWN, true, Fault.LATE, OptionalInt.empty()));
       IoUtils.safeClose(attempt.exchange().getConnection());
-      end(new AttemptEnd(Outcome.UNKNOWN, true, Fault.LATE, OptionalInt.empty()));
     } else {
-      end(AttemptEnd.failed(Outcome.UNKNOWN, Fault.LATE));
+      endClosing(AttemptEnd.failed(Outcome.UNKNOWN, Fault.LATE));
     }
   }
 
+  /** Ends the attempt and closes its connection, which tells at once that the exchange broke. */
+  private void endClosing(AttemptEnd result) {
+    end(
+        () -> {
+          if (connection != null) {
+            pool.discard(connection);
+          }
+          attempt.listener().ended(result);
+        });
+  }
+
   private void end(AttemptEnd result) {
+    end(() -> attempt.listener().ended(result));
+  }
+
+  private void end(Runnable ending) {
     if (ended) {
       return;
     }
@@ -300,7 +310,7 @@
     if (timer != null) {
       timer.remove();
     }
-    attempt.listener().ended(result);
+    ending.run();
   }
 
   // -- time
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallPathTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallPathTest.java
@@ -28,10 +28,13 @@
       contracts:
         - {name: read, kind: interactive-read, deadline: 2s}
         - {name: write, kind: non-idempotent-write, deadline: 2s}
+        - {name: short, kind: non-idempotent-write, deadline: 200ms}
       services: [{name: ledger, version: v1}, {name: nowhere, version: v1}]
       routes:
         - {name: read, pathPrefix: /read, service: ledger, contract: read}
         - {name: write, pathPrefix: /write, service: ledger, contract: write}
+        - {name: short-0, pathPrefix: /short/0, service: ledger, contract: short}
+        - {name: short-1, pathPrefix: /short/1, service: ledger, contract: short}
         - {name: nowhere, pathPrefix: /nowhere, service: nowhere, contract: write}
       """;
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
@@ -127,6 +130,18 @@
     assertThat(upstream.requests()).isEqualTo(before + 1);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void shouldTellThatTimeRanOutWhenTheUpstreamStaysSilent(int member) {
+    upstream.answerWith("", false);
+
+    HttpAnswer answer =
+        mesh.send(entry(member), HttpCall.of("POST", "/short/" + member).body("charge"));
+
+    assertThat(answer.status()).isEqualTo(504);
+    assertThat(outcome(answer)).isEqualTo("unknown");
+  }
+
   @ParameterizedTest
   @CsvSource({"0, 1, 1", "1, 0, 1", "1, 1, 2"})
   void shouldRunAnIdempotencyKeyOnceWhicheverEntryItIsRepeatedAt(
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallerLeavesTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallerLeavesTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.parsleycart.daemon.TestMesh;
+import org.parsleycart.link.http.HttpCall;
 
 /** A caller that leaves before its answer stops the work of the upstream, over one hop and two. */
 class CallerLeavesTest {
@@ -142,5 +143,9 @@
       upstream.stopped.get(LONGEST_WAIT_SECONDS, TimeUnit.SECONDS);
       assertThat(upstream.stopped).isCompleted();
     }
+    // Sending the call once more comes before its first upstream is stopped.
+    String metrics =
+        mesh.send(mesh.member(member).operators(), HttpCall.of("GET", "/metrics")).text();
+    assertThat(metrics).contains("parsleycart_retries_total 0.0");
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -7,7 +7,9 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
@@ -33,12 +35,19 @@
    */
   private static final Duration STANDING = Duration.ofMillis(200);
 
+  /**
+   * After this time without a call of a route, one is let through whatever its usual latency: an
+   * upstream that was slow for a while would never be seen to have recovered.
+   */
+  private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
+
   private final AdmissionSettings settings;
   private final InstantSource clock;
   private final ConcurrencyLimit limit;
   private final PriorityQueue<WaitingCall<C>> queue = new PriorityQueue<>(WaitingCall.order());
   private Optional<RefusalReason> closed = Optional.empty();
   private final ColdStart coldStart;
+  private final Map<String, Instant> lastStarts = new HashMap<>();
   private int running;
   private Instant coldSince;
   private Instant lastEmptyQueue;
@@ -205,6 +214,7 @@
       } else {
         running++;
         coldStart.started(now);
+        lastStarts.put(next.route(), now);
         started.add(next);
       }
     }
@@ -226,7 +236,7 @@
    * deadline, or would be late while calls stand in line that can still be answered in time.
    */
   private Optional<RefusalReason> tooLate(WaitingCall<C> call, Instant start, int othersWaiting) {
-    Instant end = start.plus(limit.usualLatency(call.route()));
+    Instant end = start.plus(expectedLatency(call.route()));
     if (end.isAfter(call.deadline())) {
       return Optional.of(RefusalReason.DEADLINE);
     }
@@ -235,6 +245,12 @@
         : Optional.empty();
   }
 
+  private Duration expectedLatency(String route) {
+    Instant lastStart = lastStarts.getOrDefault(route, Instant.EPOCH);
+    boolean isProbeDue = lastStart.plus(PROBE_INTERVAL).isBefore(clock.instant());
+    return isProbeDue ? Duration.ZERO : limit.usualLatency(route);
+  }
+
   private boolean isStanding() {
     return clock.instant().isAfter(lastEmptyQueue.plus(STANDING));
   }
