Follow the deployment's own retry ratio and grace time

Cause: both were constants of the known deployments (a tenth of the calls; 2, 3 and 5.5 s after the request to stop). A deployment with a smaller ratio would see its retry bound broken, one with less grace its requests cut. Found by reading the settings that the platform renders. With the bounds of the known deployments both are what they were.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -21,14 +21,6 @@
 public final class Daemon implements AutoCloseable {
   private static final int BUFFER_BYTES = 8 * 1024;
   private static final int BUFFERS_KEPT = 64;
-  private static final Duration SPREADING_TIME = Duration.ofSeconds(2);
-
-  /**
-   * How long a daemon that stops takes new calls. Those taken up to here still have the drain
-   * timeout to end; callers that send later would be cut at its end.
-   */
-  private static final Duration SERVING_TIME = Duration.ofSeconds(3);
-
   private static final Duration STEP = Duration.ofMillis(50);
 
   private final DaemonSettings settings;
@@ -105,11 +97,12 @@
         .gossip()
         .submit((protocol, pulls) -> protocol.announceSelf(MemberStatus.LEFT, List.of()));
     Instant begun = parts.clock().instant();
-    waitUntil(begun.plus(SPREADING_TIME), false);
+    StopTimes times = StopTimes.of(settings.limits());
+    waitUntil(begun.plus(times.closeUpstreams()), false);
     parts.upstreams().closeAll(RefusalReason.DRAINING);
-    waitUntil(begun.plus(SERVING_TIME), true);
+    waitUntil(begun.plus(times.closeEntry()), true);
     refuseNewCalls();
-    waitUntil(begun.plus(SPREADING_TIME).plus(settings.limits().drainTimeout()), true);
+    waitUntil(begun.plus(times.end()), true);
     int cut = parts.upstreams().running();
     server.stop();
     parts.stopDuties();
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/StopTimes.java
@@ -0,0 +1,48 @@
+package org.parsleycart.daemon;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import org.parsleycart.daemon.settings.DaemonLimits;
+
+/**
+ * The steps of a planned stop, counted from its begin.
+ *
+ * @param closeUpstreams when the upstreams beside the daemon take no new calls; the others have
+ *     learnt of the stop by then
+ * @param closeEntry when callers get refusals; calls taken before still have time to end
+ * @param end when the calls that still run are cut
+ */
+record StopTimes(Duration closeUpstreams, Duration closeEntry, Duration end) {
+  private static final Duration USUAL_CLOSE_UPSTREAMS = Duration.ofSeconds(2);
+  private static final Duration USUAL_CLOSE_ENTRY = Duration.ofSeconds(3);
+
+  /** What the process needs to close and to write its last lines before it is ended. */
+  private static final Duration MARGIN = Duration.ofMillis(500);
+
+  StopTimes {
+    requireNonNull(closeUpstreams, "closeUpstreams is null");
+    requireNonNull(closeEntry, "closeEntry is null");
+    requireNonNull(end, "end is null");
+  }
+
+  /** Returns the steps that the limits allow: within the grace time when one is known. */
+  static StopTimes of(DaemonLimits limits) {
+    requireNonNull(limits, "limits is null");
+    return limits
+        .graceTime()
+        .map(StopTimes::within)
+        .orElseGet(
+            () ->
+                new StopTimes(
+                    USUAL_CLOSE_UPSTREAMS,
+                    USUAL_CLOSE_ENTRY,
+                    USUAL_CLOSE_UPSTREAMS.plus(limits.drainTimeout())));
+  }
+
+  private static StopTimes within(Duration graceTime) {
+    Duration end = graceTime.minus(MARGIN);
+    return new StopTimes(
+        graceTime.dividedBy(3), graceTime.dividedBy(2), end.isNegative() ? graceTime : end);
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
@@ -3,7 +3,9 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.platform.PlatformBounds;
 
 /**
  * Bounds of work and memory.
@@ -16,6 +18,8 @@
  * @param replayableBodyBytes the largest request body held in memory so that it can be sent again
  * @param inputOutputThreads the threads that carry calls
  * @param drainTimeout how long a planned stop waits for running calls
+ * @param graceTime how long a planned stop may take in all, if that is known; goes before the drain
+ *     timeout
  * @param trustsSlots whether upstreams bear the slots that they announce from the start
  * @param retriesPerCall the retries that a call to a service earns it
  * @param savedRetries the most retries that a service saves up
@@ -29,6 +33,7 @@
     int replayableBodyBytes,
     int inputOutputThreads,
     Duration drainTimeout,
+    Optional<Duration> graceTime,
     boolean trustsSlots,
     double retriesPerCall,
     double savedRetries) {
@@ -41,9 +46,11 @@
 
   public DaemonLimits {
     requireNonNull(drainTimeout, "drainTimeout is null");
+    requireNonNull(graceTime, "graceTime is null");
   }
 
-  static DaemonLimits from(MappingReader reader) {
+  /** Reads limits; those that are left out follow the bounds of the deployment, if it sets any. */
+  static DaemonLimits from(MappingReader reader, PlatformBounds bounds) {
     DaemonLimits limits =
         new DaemonLimits(
             number(reader, "coldLimit", 1, 10_000, 2),
@@ -54,8 +61,11 @@
             number(reader, "replayableBodyBytes", 0, (int) MEBIBYTE, 64 * 1024),
             number(reader, "inputOutputThreads", 1, 64, 2),
             reader.duration("drainTimeout").orElse(Duration.ofSeconds(20)),
+            reader.duration("graceTime").or(bounds::graceTime),
             reader.flag("trustsSlots").orElse(false),
-            reader.decimal("retriesPerCall", 0, 1).orElse(DEFAULT_RETRIES_PER_CALL),
+            reader
+                .decimal("retriesPerCall", 0, 1)
+                .orElse(bounds.retriesPerCall().orElse(DEFAULT_RETRIES_PER_CALL)),
             reader.decimal("savedRetries", 0, MOST_SAVED_RETRIES).orElse(DEFAULT_SAVED_RETRIES));
     reader.finish();
     return limits;
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
@@ -14,6 +14,7 @@
 import org.parsleycart.model.document.MappingReader;
 import org.parsleycart.model.document.Problem;
 import org.parsleycart.model.document.YamlDocuments;
+import org.parsleycart.platform.PlatformBounds;
 
 /**
  * Everything that a daemon is told at its start.
@@ -80,6 +81,7 @@
   private static Either<List<Problem>, DaemonSettings> from(Document document) {
     List<Problem> problems = new ArrayList<>();
     MappingReader reader = MappingReader.of(document, problems);
+    PlatformBounds bounds = PlatformBounds.from(reader.textItems("platformBounds"));
     DaemonSettings settings =
         new DaemonSettings(
             reader.requiredName("zone"),
@@ -92,7 +94,7 @@
             reader.duration("platformTimeout").orElse(DEFAULT_PLATFORM_TIMEOUT),
             keysFrom(reader),
             seedsFrom(reader),
-            DaemonLimits.from(section(reader, "limits", problems)),
+            DaemonLimits.from(section(reader, "limits", problems), bounds),
             TraceSettings.from(section(reader, "traces", problems)));
     reader.finish();
     return problems.isEmpty() ? Either.right(settings) : Either.left(problems);
--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/StopTimesTest.java
@@ -0,0 +1,40 @@
+package org.parsleycart.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.parsleycart.daemon.settings.DaemonSettings;
+
+class StopTimesTest {
+  private static StopTimes times(String limits) {
+    String text =
+        """
+        zone: abdali
+        addresses: {callers: "127.0.0.1:1", daemons: "127.0.0.1:2", control: "127.0.0.1:3",
+                    operators: "127.0.0.1:4"}
+        platform: embedded
+        peerKeys: [stop-times-0123456789]
+        limits: {%s}
+        """
+            .formatted(limits);
+    return StopTimes.of(DaemonSettings.parse("test", text).get().limits());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {2, 4, 6, 30})
+  void shouldEndBeforeTheGraceTime(int seconds) {
+    StopTimes times = times("graceTime: " + seconds + "s, drainTimeout: 20s");
+
+    assertThat(times.end()).isLessThan(Duration.ofSeconds(seconds));
+    assertThat(times.closeUpstreams()).isLessThan(times.closeEntry());
+    assertThat(times.closeEntry()).isLessThan(times.end());
+  }
+
+  @Test
+  void shouldFollowTheDrainTimeoutWhenNoGraceTimeIsKnown() {
+    assertThat(times("drainTimeout: 20s").end()).isEqualTo(Duration.ofSeconds(22));
+  }
+}
