Tell the story of a request from the logs of all daemons

parsleycart explain gathers the lines of a request, of the calls made while it ran, and the changes of state of its upstreams, in order.

--- a/parsleycart-command/src/main/java/org/parsleycart/command/CommandMain.java
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/CommandMain.java
@@ -24,7 +24,8 @@
       ZoneCommands.Withdraw.class,
       ZoneCommands.Return.class,
       RolloutCommands.class,
-      WatchCommand.class
+      WatchCommand.class,
+      ExplainCommand.class
     },
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {
--- /dev/null
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/ExplainCommand.java
@@ -0,0 +1,103 @@
+package org.parsleycart.command;
+
+import io.vavr.control.Either;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Prints what daemons wrote about one request. */
+@Command(
+    name = "explain",
+    description = "Prints the lines of a request from the logs of all daemons, in order.",
+    mixinStandardHelpOptions = true)
+final class ExplainCommand implements Callable<Integer> {
+  private static final String STANDARD_INPUT = "standard input";
+
+  @Parameters(index = "0", paramLabel = "REQUEST", description = "The request's identifier.")
+  private String request;
+
+  @Parameters(
+      index = "1..*",
+      arity = "0..*",
+      paramLabel = "FILE",
+      description = "Logs of daemons; standard input when none is given.")
+  private List<Path> files = List.of();
+
+  @Spec private CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    return read().flatMap(this::story).fold(this::report, this::print);
+  }
+
+  private Either<CommandError, List<LogLine>> read() {
+    List<LogLine> lines = new ArrayList<>();
+    try {
+      if (files.isEmpty()) {
+        // The reader is not closed, as standard input is not this command's to close.
+        read(
+            STANDARD_INPUT,
+            new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)),
+            lines);
+      }
+      for (Path file : files) {
+        try (BufferedReader reader = Files.newBufferedReader(file)) {
+          read(file.toString(), reader, lines);
+        }
+      }
+    } catch (IOException e) {
+      return Either.left(error("a log cannot be read: " + e.getMessage()));
+    }
+    return Either.right(lines);
+  }
+
+  private static void read(String source, BufferedReader reader, List<LogLine> lines) {
+    reader.lines().flatMap(text -> LogLine.parse(source, text).stream()).forEach(lines::add);
+  }
+
+  private Either<CommandError, RequestStory> story(List<LogLine> lines) {
+    RequestStory story = RequestStory.of(request, lines);
+    return story.lines().isEmpty()
+        ? Either.left(
+            error("none of " + lines.size() + " structured lines is about request " + request))
+        : Either.right(story);
+  }
+
+  private static CommandError error(String message) {
+    return new CommandError(ExitCode.BAD_INPUT, message, List.of());
+  }
+
+  private int report(CommandError error) {
+    CommandMain.printError(spec.commandLine(), error);
+    return error.exitCode().code();
+  }
+
+  private int print(RequestStory story) {
+    story
+        .lines()
+        .forEach(
+            line ->
+                spec.commandLine()
+                    .getOut()
+                    .println(
+                        line.time()
+                            + "  "
+                            + line.origin()
+                            + "  "
+                            + line.event()
+                            + "  "
+                            + line.details()));
+    spec.commandLine().getOut().flush();
+    return ExitCode.DONE.code();
+  }
+}
