--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlParts.java
@@ -116,6 +116,7 @@
             platformDuty,
             gossip::view,
             freshness,
+            planner::behindSince,
             watching,
             clock,
             new Random()),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/FeedDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/FeedDuty.java
@@ -4,7 +4,9 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
@@ -35,12 +37,13 @@
   private static final Duration LONGEST_PAUSE = Duration.ofMillis(2500);
 
   /** How often a daemon that is no watcher looks whether it has to read. */
-  private static final Duration LOOK_INTERVAL = Duration.ofMillis(400);
+  private static final Duration LOOK_INTERVAL = Duration.ofMillis(250);
 
   private final ConfigurationAuthority authority;
   private final PlatformDuty platform;
   private final Supplier<MembershipView> members;
   private final Freshness freshness;
+  private final Supplier<Optional<Instant>> behindSince;
   private final AtomicBoolean watching;
   private final InstantSource clock;
   private final RandomGenerator random;
@@ -56,6 +59,7 @@
    * @param platform told of each read
    * @param members gives the members known
    * @param freshness told of confirmations, and tells how old the last one is
+   * @param behindSince tells since when a peer has been known to hold a newer version
    * @param watching set to whether this daemon is a watcher
    * @param clock the time
    * @param random spreads the reads of several daemons
@@ -65,6 +69,7 @@
       PlatformDuty platform,
       Supplier<MembershipView> members,
       Freshness freshness,
+      Supplier<Optional<Instant>> behindSince,
       AtomicBoolean watching,
       InstantSource clock,
       RandomGenerator random) {
@@ -72,6 +77,7 @@
     this.platform = requireNonNull(platform, "platform is null");
     this.members = requireNonNull(members, "members is null");
     this.freshness = requireNonNull(freshness, "freshness is null");
+    this.behindSince = requireNonNull(behindSince, "behindSince is null");
     this.watching = requireNonNull(watching, "watching is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.random = requireNonNull(random, "random is null");
@@ -97,13 +103,19 @@
     noteRole(FeedSchedule.isWatcher(view.alive().toList(), view.self()));
     if (watching.get()) {
       read(WAIT, LONGEST_PAUSE_OF_WATCHER);
-    } else if (FeedSchedule.isReadDue(freshness.age(clock.instant()), view.size())) {
+    } else if (isReadDue(view)) {
       read(Duration.ZERO, LONGEST_PAUSE);
     } else {
       pauseAbout(LOOK_INTERVAL);
     }
   }
 
+  private boolean isReadDue(MembershipView view) {
+    Instant now = clock.instant();
+    Optional<Duration> behindFor = behindSince.get().map(since -> Duration.between(since, now));
+    return FeedSchedule.isReadDue(freshness.age(now), behindFor, view.size());
+  }
+
   private void noteRole(boolean nowWatching) {
     if (watching.getAndSet(nowWatching) != nowWatching) {
       Logger.info(nowWatching ? "watching the platform" : "leaving the platform to others");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PullDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PullDuty.java
@@ -21,7 +21,7 @@
 import org.parsleycart.link.FrameClient;
 import org.parsleycart.link.LinkError;
 
-/** The duty that asks peers for missing versions and for member records. */
+/** The duties that ask peers for missing versions and for member records. */
 public final class PullDuty {
   /** A pull that does not fit the ring counts as failed and is planned again. */
   private static final int RING_CAPACITY = 16;
@@ -31,8 +31,10 @@
   private final FrameClient client;
   private final ConfigurationLog log;
   private final InstantSource clock;
-  private final BoundedRing<Runnable> work = new BoundedRing<>(RING_CAPACITY);
-  private final DutyLoop loop;
+  private final BoundedRing<Runnable> pulls = new BoundedRing<>(RING_CAPACITY);
+  private final BoundedRing<Runnable> synchronizations = new BoundedRing<>(RING_CAPACITY);
+  private final DutyLoop pulling;
+  private final DutyLoop synchronizing;
   private volatile Consumer<GossipDuty.Command> gossip = command -> {};
   private volatile ObjLongConsumer<String> peerHeads = (peer, version) -> {};
 
@@ -43,19 +45,23 @@
     this.client = requireNonNull(client, "client is null");
     this.log = requireNonNull(log, "log is null");
     this.clock = requireNonNull(clock, "clock is null");
-    this.loop = new DutyLoop("spreading", this::step);
+    this.pulling = new DutyLoop("spreading", () -> step(pulls));
+    // Apart from pulls, as a peer that is gone keeps the thread waiting for a while.
+    this.synchronizing = new DutyLoop("synchronizing", () -> step(synchronizations));
   }
 
   /** Starts the thread; results go to the given duty, and the heads of peers to the consumer. */
   public void start(GossipDuty gossipDuty, ObjLongConsumer<String> peerHeadConsumer) {
     gossip = gossipDuty::submit;
     peerHeads = requireNonNull(peerHeadConsumer, "peerHeadConsumer is null");
-    loop.start();
+    pulling.start();
+    synchronizing.start();
   }
 
   /** Stops the thread. */
   public void stop() {
-    loop.stop();
+    pulling.stop();
+    synchronizing.stop();
   }
 
   // -- operation
@@ -63,16 +69,16 @@
   /** Asks a peer for missing versions. */
   public void pull(Outgoing request) {
     requireNonNull(request, "request is null");
-    work.offer(() -> pullNow(request));
+    pulls.offer(() -> pullNow(request));
   }
 
   /** Asks a peer for the member records that differ. */
   public void synchronize(String peer, MembershipView view, boolean hasPeers) {
     List<Long> digests = hasPeers ? BucketDigests.of(view.records()) : List.of(0L);
-    work.offer(() -> synchronizeNow(peer, new MembershipRequest(view.self(), digests)));
+    synchronizations.offer(() -> synchronizeNow(peer, new MembershipRequest(view.self(), digests)));
   }
 
-  private void step() {
+  private static void step(BoundedRing<Runnable> work) {
     work.poll(WAIT_NANOSECONDS).ifPresent(Runnable::run);
   }
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/FeedSchedule.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/FeedSchedule.java
@@ -16,8 +16,8 @@
  * reads the platform itself, so that versions arrive also when no watcher reaches the platform.
  */
 public final class FeedSchedule {
-  /** Two, so that versions still arrive without delay when one is cut off or dies. */
-  static final int WATCHERS_PER_ZONE = 2;
+  /** Three, so that versions still arrive without delay when two are cut off or die. */
+  static final int WATCHERS_PER_ZONE = 3;
 
   private static final String RENDEZVOUS_KEY = "feed";
 
@@ -27,6 +27,9 @@
   /** Gossip reaches n daemons, each of which hears four others a second, within ln n / 2 s. */
   private static final double SPREADING_SECONDS = 0.5;
 
+  /** Peers answer within a few round trips; a peer that does not may be gone. */
+  private static final Duration LONGEST_PULL = Duration.ofMillis(300);
+
   private static final double MILLISECONDS_PER_SECOND = 1000;
 
   private FeedSchedule() {}
@@ -55,11 +58,14 @@
    * Returns whether a daemon that is no watcher reads the platform itself now.
    *
    * @param age how long ago its configuration was known to be the newest, if ever
+   * @param behindFor for how long some peer has been known to hold a newer version, if one does
    * @param fleet the number of daemons
    */
-  public static boolean isReadDue(Optional<Duration> age, int fleet) {
+  public static boolean isReadDue(Optional<Duration> age, Optional<Duration> behindFor, int fleet) {
     requireNonNull(age, "age is null");
-    return age.isEmpty() || age.get().compareTo(patience(fleet)) > 0;
+    requireNonNull(behindFor, "behindFor is null");
+    boolean unconfirmed = age.isEmpty() || age.get().compareTo(patience(fleet)) > 0;
+    return unconfirmed || behindFor.filter(since -> since.compareTo(LONGEST_PULL) > 0).isPresent();
   }
 
   /** Returns how old a confirmation usually gets at most; it grows with the fleet's logarithm. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
@@ -42,7 +42,7 @@
   private Optional<Pull> inFlight = Optional.empty();
   private Instant notBefore = Instant.MIN;
   private Duration pause = SHORTEST_PAUSE;
-  private Optional<Instant> behindSince = Optional.empty();
+  private volatile Optional<Instant> behindSince = Optional.empty();
   private boolean wholeSnapshotNeeded;
 
   private record Pull(String peer, Instant startedAt) {}
@@ -145,6 +145,11 @@
 
   // -- queries
 
+  /** Returns since when some peer has been known to hold a newer version; for any thread. */
+  public Optional<Instant> behindSince() {
+    return behindSince;
+  }
+
   /** Returns whether some peer is known to hold a newer version. */
   public boolean isBehind() {
     return !peersAhead.isEmpty();
--- a/parsleycart-link/src/main/java/org/parsleycart/link/FrameClient.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/FrameClient.java
@@ -17,6 +17,12 @@
   private final Envelope envelope;
   private final LinkCounters counters;
 
+  /**
+   * Bounds the wait for a connection: a few round trips between regions. A machine that is gone
+   * answers nothing, and what waits for it holds up what others could answer.
+   */
+  private static final Duration LONGEST_CONNECT = Duration.ofMillis(300);
+
   // -- construction
 
   /** Creates a client that signs with the given envelope and counts its bytes. */
@@ -32,7 +38,7 @@
    *
    * @param address the control address of the receiver
    * @param request the request
-   * @param timeout bounds the connection and, again, the wait for the answer
+   * @param timeout bounds the wait for the answer; the connection has less time
    * @return the answer, or why there is none
    */
   public Either<LinkError, ControlMessage> ask(
@@ -46,7 +52,7 @@
       socket.setTcpNoDelay(true);
       int milliseconds = (int) Math.max(1, timeout.toMillis());
       try {
-        socket.connect(target.get(), milliseconds);
+        socket.connect(target.get(), (int) Math.min(milliseconds, LONGEST_CONNECT.toMillis()));
       } catch (IOException e) {
         return Either.left(new LinkError.Unreachable(address, String.valueOf(e.getMessage())));
       }
