--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMain.java
@@ -1,18 +1,10 @@
 package org.parsleycart.daemon;
 
-import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
-import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.link.LibraryLogs;
-import org.parsleycart.model.document.Problem;
-import org.tinylog.Logger;
-import org.tinylog.provider.ProviderRegistry;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -32,10 +24,6 @@
       "2:bad arguments or settings"
     })
 public final class DaemonMain implements Callable<Integer> {
-  private static final int DONE = 0;
-  private static final int NOT_STARTED = 1;
-  private static final int BAD_INPUT = 2;
-
   @Option(
       names = "--settings",
       paramLabel = "FILE",
@@ -70,69 +58,20 @@
     if (settingsFile == null) {
       errors.println("missing required option '--settings=FILE'");
       spec.commandLine().usage(errors);
-      return BAD_INPUT;
-    }
-    String text;
-    try {
-      text = Files.readString(settingsFile);
-    } catch (IOException e) {
-      errors.println(settingsFile + ": cannot be read: " + e.getMessage());
-      return BAD_INPUT;
+      return DaemonProcess.BAD_INPUT;
     }
-    Either<List<Problem>, DaemonSettings> settings =
-        DaemonSettings.parse(settingsFile.toString(), text);
-    if (settings.isLeft()) {
-      settings.getLeft().forEach(errors::println);
-      return BAD_INPUT;
-    }
-    return checkOnly ? DONE : run(settings.get(), text, errors);
+    return checkOnly
+        ? DaemonProcess.check(settingsFile, errors)
+        : DaemonProcess.run(settingsFile, errors);
   }
 
   private static int rehearse(PrintWriter errors) {
     try {
       Rehearsal.run();
-      return DONE;
+      return DaemonProcess.DONE;
     } catch (IOException e) {
       errors.println("the rehearsal failed: " + e.getMessage());
-      return NOT_STARTED;
-    }
-  }
-
-  private static void writeLastLines() {
-    try {
-      ProviderRegistry.getLoggingProvider().shutdown();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  private int run(DaemonSettings settings, String text, PrintWriter errors) {
-    Daemon daemon;
-    try {
-      daemon = Daemon.start(settings);
-    } catch (IOException | RuntimeException e) {
-      errors.println("could not start: " + e.getMessage());
-      Logger.debug(e);
-      return NOT_STARTED;
-    }
-    SettingsWatch watch = new SettingsWatch(settingsFile, text, daemon::reload);
-    HangupSignal.onSignal(watch::requestReload);
-    watch.start();
-    CountDownLatch closed = new CountDownLatch(1);
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () -> {
-                  daemon.close();
-                  writeLastLines();
-                  closed.countDown();
-                },
-                "stopping"));
-    try {
-      closed.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      return DaemonProcess.NOT_STARTED;
     }
-    return DONE;
   }
 }
