--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipDuty.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipDuty.java
@@ -25,7 +25,9 @@
   /** A command that does not fit the ring is dropped; the next gossip or repair makes up for it. */
   private static final int RING_CAPACITY = 1024;
 
-  private static final Duration TICK = Duration.ofMillis(50);
+  /** A third of the shortest timeout of a probe; each tick costs a wake-up of the process. */
+  private static final Duration TICK = Duration.ofMillis(100);
+
   private static final Duration SHORTEST_PUBLICATION_INTERVAL = Duration.ofMillis(50);
 
   private final GossipProtocol protocol;
