Read the age of a confirmation before the head that it confirms; split the entry's refusals

A head that arrived between the two readings was announced as confirmed although it was not yet asked for. Found by reading; a test would have to stop a thread between two lines.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -50,11 +50,6 @@
     String identifier = identifierOf(exchange);
     MeshState state = parts.state();
     Configuration configuration = state.configuration();
-    Optional<RefusalReason> fault =
-        exchange.isHostIncludedInRequestURI()
-            ? Optional.of(RefusalReason.BAD_REQUEST)
-            : RequestFraming.fault(
-                exchange, configuration.callerLimits(), parts.limits().maximumBodyBytes());
     Optional<Route> route =
         configuration.routeFor(hostOf(exchange), exchange.getRequestPath(), state.labels());
     Optional<Service> service =
@@ -63,16 +58,16 @@
             .flatMap(configuration::service);
     Optional<Contract> contract = route.flatMap(each -> configuration.contract(each.contract()));
     Optional<RefusalReason> refusal =
-        fault
+        fault(exchange, configuration)
             .or(() -> refusal(state, service, contract))
             .or(
-                () -> {
-                  Instant deadline = deadline(exchange, contract.get(), arrivedAt);
-                  Duration useful = usefulTime(configuration, contract.get(), deadline, now);
-                  return delay.makesTooLate(useful, now)
-                      ? Optional.of(RefusalReason.OVERLOADED)
-                      : Optional.empty();
-                });
+                () ->
+                    overload(
+                        delay,
+                        configuration,
+                        contract.get(),
+                        deadline(exchange, contract.get(), arrivedAt),
+                        now));
     if (refusal.isPresent()) {
       refuse(exchange, identifier, refusal.get(), arrivedAt);
       return;
@@ -101,6 +96,13 @@
         .with("parsleycart.request", identifier);
   }
 
+  private Optional<RefusalReason> fault(HttpServerExchange exchange, Configuration configuration) {
+    return exchange.isHostIncludedInRequestURI()
+        ? Optional.of(RefusalReason.BAD_REQUEST)
+        : RequestFraming.fault(
+            exchange, configuration.callerLimits(), parts.limits().maximumBodyBytes());
+  }
+
   private static Optional<RefusalReason> refusal(
       MeshState state, Optional<Service> service, Optional<Contract> contract) {
     if (!state.isServing()) {
@@ -114,6 +116,17 @@
         : Optional.of(RefusalReason.NO_ROUTE);
   }
 
+  private static Optional<RefusalReason> overload(
+      ReadDelay delay,
+      Configuration configuration,
+      Contract contract,
+      Instant deadline,
+      Instant now) {
+    return delay.makesTooLate(usefulTime(configuration, contract, deadline, now), now)
+        ? Optional.of(RefusalReason.OVERLOADED)
+        : Optional.empty();
+  }
+
   /**
    * Returns how long reads may take until a call is of little use. Calls with the shortest deadline
    * are those that upstreams make while they run others: they count until their deadline, and the
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
@@ -71,9 +71,9 @@
     subjects.forEach(subject -> urgentSubjects.sent(subject, fleet));
     List<UrgentFact> urgent =
         subjects.stream().flatMap(subject -> urgentFacts.find(subject).stream()).toList();
-    Head held = head.get();
-    return new Gossip(
-        table.self().identifier(), held, confirmationAge.get(), records, statuses, urgent);
+    // The age first: a head that arrives in between may be newer than what the age confirms.
+    Optional<Duration> age = confirmationAge.get();
+    return new Gossip(table.self().identifier(), head.get(), age, records, statuses, urgent);
   }
 
   /** Adds a record, whole when its content matters, unless the datagram is full of its like. */
