--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/StopTimes.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/StopTimes.java
@@ -14,7 +14,10 @@
  * @param end when the calls that still run are cut
  */
 record StopTimes(Duration closeUpstreams, Duration closeEntry, Duration end) {
+  /** Gossip tells a fleet of thousands of a departure within two seconds (docs/CAPACITY.md). */
   private static final Duration USUAL_CLOSE_UPSTREAMS = Duration.ofSeconds(2);
+
+  /** A second more for callers that look for readiness once a second. */
   private static final Duration USUAL_CLOSE_ENTRY = Duration.ofSeconds(3);
 
   /** What the process needs to close and to write its last lines before it is ended. */
