--- a/parsleycart-command/src/main/java/org/parsleycart/command/ExplainCommand.java
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/ExplainCommand.java
@@ -37,7 +37,7 @@
 
   @Override
   public Integer call() {
-    return read().flatMap(this::story).fold(this::report, this::print);
+    return read().flatMap(this::timeline).fold(this::report, this::print);
   }
 
   private Either<CommandError, List<LogLine>> read() {
@@ -65,12 +65,12 @@
     reader.lines().flatMap(text -> LogLine.parse(source, text).stream()).forEach(lines::add);
   }
 
-  private Either<CommandError, RequestStory> story(List<LogLine> lines) {
-    RequestStory story = RequestStory.of(request, lines);
-    return story.lines().isEmpty()
+  private Either<CommandError, RequestTimeline> timeline(List<LogLine> lines) {
+    RequestTimeline timeline = RequestTimeline.of(request, lines);
+    return timeline.lines().isEmpty()
         ? Either.left(
             error("none of " + lines.size() + " structured lines is about request " + request))
-        : Either.right(story);
+        : Either.right(timeline);
   }
 
   private static CommandError error(String message) {
@@ -82,8 +82,8 @@
     return error.exitCode().code();
   }
 
-  private int print(RequestStory story) {
-    story
+  private int print(RequestTimeline timeline) {
+    timeline
         .lines()
         .forEach(
             line ->
--- a/parsleycart-command/src/main/java/org/parsleycart/command/RequestStory.java
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/RequestTimeline.java
@@ -20,20 +20,20 @@
  *
  * @param lines the lines, the earliest first
  */
-record RequestStory(List<LogLine> lines) {
+record RequestTimeline(List<LogLine> lines) {
   /** How long before the first line of a request a change of state may still explain it. */
   private static final Duration BEFORE = Duration.ofSeconds(10);
 
-  RequestStory {
+  RequestTimeline {
     lines = List.copyOf(lines);
   }
 
-  /** Gathers the story of a request from the lines of all daemons, in any order. */
-  static RequestStory of(String request, List<LogLine> all) {
+  /** Gathers the timeline of a request from the lines of all daemons, in any order. */
+  static RequestTimeline of(String request, List<LogLine> all) {
     requireNonNull(request, "request is null");
     List<LogLine> own = all.stream().filter(line -> line.isAbout(request)).toList();
     Set<String> upstreams =
-        own.stream().flatMap(RequestStory::upstreams).collect(Collectors.toSet());
+        own.stream().flatMap(RequestTimeline::upstreams).collect(Collectors.toSet());
     Optional<Instant> first =
         own.stream().flatMap(line -> time(line).stream()).min(Comparator.naturalOrder());
     Optional<Instant> last =
@@ -43,7 +43,7 @@
             .filter(line -> line.event().equals("state"))
             .filter(line -> names(line, upstreams))
             .filter(line -> isWithin(line, first, last));
-    return new RequestStory(
+    return new RequestTimeline(
         Stream.of(own.stream(), states)
             .flatMap(Function.identity())
             .sorted(Comparator.comparing(LogLine::time))
--- a/parsleycart-command/src/test/java/org/parsleycart/command/RequestStoryTest.java
+++ b/parsleycart-command/src/test/java/org/parsleycart/command/RequestTimelineTest.java
@@ -6,7 +6,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-class RequestStoryTest {
+class RequestTimelineTest {
   private static final String REFUSED =
       "  3.1 sidecar-a {\"time\":\"2026-01-01T00:00:03.1Z\",\"event\":\"admission-refused\","
           + "\"request\":\"r1\",\"upstream\":\"u1\",\"reason\":\"cold\"}";
@@ -22,17 +22,17 @@
     return "{\"time\":\"" + time + "\",\"event\":\"state\",\"message\":\"" + message + "\"}";
   }
 
-  private static List<String> story(String... texts) {
+  private static List<String> timeline(String... texts) {
     List<LogLine> lines =
         Stream.of(texts).flatMap(text -> LogLine.parse("log", text).stream()).toList();
-    return RequestStory.of("r1", lines).lines().stream()
+    return RequestTimeline.of("r1", lines).lines().stream()
         .map(line -> line.origin() + " " + line.event() + " " + line.details())
         .toList();
   }
 
   @Test
   void shouldTellTheLinesOfARequestInOrderAcrossProcesses() {
-    assertThat(story(ENDED, OTHER, REFUSED))
+    assertThat(timeline(ENDED, OTHER, REFUSED))
         .containsExactly(
             "3.1 sidecar-a admission-refused request=r1 upstream=u1 reason=cold",
             "log call-ended request=r1 upstreams=u1,u2 status=503");
@@ -40,7 +40,7 @@
 
   @Test
   void shouldTellTheCallsThatItsUpstreamMade() {
-    assertThat(story(NESTED, ENDED)).hasSize(2).first().asString().contains("r1.n1");
+    assertThat(timeline(NESTED, ENDED)).hasSize(2).first().asString().contains("r1.n1");
   }
 
   @Test
@@ -49,7 +49,7 @@
     String longAgo = state("2025-12-31T23:59:00Z", "upstream u2 is ready");
     String another = state("2026-01-01T00:00:01Z", "upstream u3 has left");
 
-    assertThat(story(ENDED, left, longAgo, another))
+    assertThat(timeline(ENDED, left, longAgo, another))
         .hasSize(2)
         .first()
         .asString()
@@ -58,6 +58,6 @@
 
   @Test
   void shouldTellNothingWhenNoLineNamesTheRequest() {
-    assertThat(story(OTHER, "no structured line", "{broken")).isEmpty();
+    assertThat(timeline(OTHER, "no structured line", "{broken")).isEmpty();
   }
 }
