End every attempt before its connection is closed

Two endings still closed first: an answer that cannot be used, and one that broke off while it was passed on. Both now take the one way that ends first. Found by reading; the present tests hold.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Forwarding.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Forwarding.java
@@ -170,8 +170,7 @@
     reusableFor = ConnectionPool.reusableFor(response);
     boolean usable = attempt.hop().mayEndWithConnection() || isFramed(response);
     if (isOfAnotherRequest(response) || !usable) {
-      pool.discard(connection);
-      end(AttemptEnd.failed(Outcome.UNKNOWN, Fault.UNUSABLE));
+      endClosing(AttemptEnd.failed(Outcome.UNKNOWN, Fault.UNUSABLE));
       return;
     }
     Optional<AttemptEnd> withheld = attempt.listener().withhold(response);
@@ -239,9 +238,8 @@
 
           @Override
           public void sourceFailed(IOException cause) {
-            pool.discard(connection);
+            endClosing(new AttemptEnd(Outcome.UNKNOWN, true, Fault.BROKEN, status));
             IoUtils.safeClose(exchange.getConnection());
-            end(new AttemptEnd(Outcome.UNKNOWN, true, Fault.BROKEN, status));
           }
 
           @Override
