Do once what was done for each call, and use the pieces that were there

For each call: the deadline is read once, the limits on callers are found when a configuration is made, the head for gossip is taken once for each datagram; for each connection: the timeouts are put together only when the limits change. The single owner of a key is the largest again, not the first of a sorted list. Header names that nothing reads are gone. The form of a whole configuration has a file of its own.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonParts.java
@@ -93,9 +93,9 @@
     CallSignature signature = new CallSignature(keys);
     Dialect dialect = settings.dialect().create();
     AdmissionService admission = admission(state, upstreams, forwarder, dialect, reports, clock);
-    ReadDelays delays = new ReadDelays(clock);
     EntryParts entryParts =
-        entryParts(settings, state, loads, admission, forwarder, signature, reports, delays, clock);
+        entryParts(
+            settings, dialect, state, loads, admission, forwarder, signature, reports, clock);
     CallsInProgress callsInProgress = new CallsInProgress();
     DaemonMetrics.register(
         reports.registry(),
@@ -119,7 +119,7 @@
             admission,
             signature,
             reports.tracing(),
-            delays,
+            entryParts.delays(),
             clock,
             settings.limits().replayableBodyBytes()),
         new UpstreamCallHandler(
@@ -166,15 +166,14 @@
 
   private static EntryParts entryParts(
       DaemonSettings settings,
+      Dialect dialect,
       MeshState state,
       LoadBoard loads,
       AdmissionService admission,
       Forwarder forwarder,
       CallSignature signature,
       Reports reports,
-      ReadDelays delays,
       MonotonicClock clock) {
-    Dialect dialect = settings.dialect().create();
     return new EntryParts(
         state,
         settings.identifier(),
@@ -196,7 +195,7 @@
         reports.calls(),
         reports.tracing(),
         settings.limits(),
-        delays,
+        new ReadDelays(clock),
         clock,
         ThreadLocalRandom::current);
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/SettingsWatch.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/SettingsWatch.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.parsleycart.daemon.settings.DaemonSettings;
+import org.parsleycart.link.Threads;
 import org.tinylog.Logger;
 
 /**
@@ -44,9 +45,7 @@
 
   /** Starts the thread of this watch. */
   void start() {
-    Thread thread = new Thread(this::run, "settings");
-    thread.setDaemon(true);
-    thread.start();
+    Threads.daemon("settings", this::run).start();
   }
 
   /** Asks to read the file now. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -133,17 +133,14 @@
   private void carryOut(LocalUpstream upstream, Admission<LocalCall> admission) {
     admission
         .refuse()
-        .forEach(refused -> noteRefusal(refused.call().call(), upstream, refused.reason()));
+        .forEach(
+            refused -> noteRefusal(refused.call().call(), Optional.of(upstream), refused.reason()));
     LocalUpstreams.refuseAll(upstream, admission);
     admission
         .start()
         .forEach(waiting -> waiting.call().onOwnThread(() -> start(upstream, waiting.call())));
   }
 
-  private void noteRefusal(LocalCall call, LocalUpstream upstream, RefusalReason reason) {
-    noteRefusal(call, Optional.of(upstream), reason);
-  }
-
   private void noteRefusal(LocalCall call, Optional<LocalUpstream> upstream, RefusalReason reason) {
     metrics.refused(reason);
     Document.MappingBuilder fields =
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.parsleycart.daemon.settings.DaemonLimits;
 import org.parsleycart.model.CallerLimits;
@@ -46,6 +47,10 @@
   private final OptionMap serverOptions;
   private final List<AcceptingChannel<? extends StreamConnection>> listeners = new ArrayList<>();
   private final AtomicBoolean stopped = new AtomicBoolean();
+  private volatile LimitedOptions callerOptions;
+
+  /** The options of connections that open under the given limits. */
+  private record LimitedOptions(CallerLimits limits, OptionMap options) {}
 
   // -- construction
 
@@ -53,6 +58,7 @@
     this.worker = worker;
     this.buffers = buffers;
     this.serverOptions = serverOptions;
+    this.callerOptions = new LimitedOptions(CallerLimits.none(), serverOptions);
   }
 
   /** Creates a server that listens nowhere. */
@@ -86,7 +92,7 @@
 
   /** Listens at an address. */
   public void listen(InetSocketAddress address, HttpHandler handler) throws IOException {
-    listen(address, handler, CallerLimits::none);
+    listen(address, handler, opening -> {});
   }
 
   /**
@@ -98,11 +104,18 @@
    */
   public void listen(InetSocketAddress address, HttpHandler handler, Supplier<CallerLimits> limits)
       throws IOException {
+    requireNonNull(limits, "limits is null");
+    listen(address, handler, opening -> opening.setUndertowOptions(optionsFor(limits.get())));
+  }
+
+  private void listen(
+      InetSocketAddress address, HttpHandler handler, Consumer<HttpOpenListener> beforeOpening)
+      throws IOException {
     HttpOpenListener opening = new HttpOpenListener(buffers, serverOptions);
     opening.setRootHandler(requireNonNull(handler, "handler is null"));
     ChannelListener<StreamConnection> watching =
         connection -> {
-          opening.setUndertowOptions(withTimeouts(limits.get()));
+          beforeOpening.accept(opening);
           WatchedSource.install(connection);
           opening.handleEvent(connection);
         };
@@ -119,10 +132,17 @@
     listeners.add(listener);
   }
 
-  private OptionMap withTimeouts(CallerLimits limits) {
-    if (limits.headerTimeout().isEmpty() && limits.idleTimeout().isEmpty()) {
-      return serverOptions;
+  /** Returns the options under the limits, which are made once for each change of them. */
+  private OptionMap optionsFor(CallerLimits limits) {
+    LimitedOptions held = callerOptions;
+    if (!held.limits().equals(limits)) {
+      held = new LimitedOptions(limits, withTimeouts(limits));
+      callerOptions = held;
     }
+    return held.options();
+  }
+
+  private OptionMap withTimeouts(CallerLimits limits) {
     OptionMap.Builder builder = OptionMap.builder().addAll(serverOptions);
     limits
         .headerTimeout()
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -57,17 +57,11 @@
             .map(found -> DestinationChoice.of(found, parts.random().get()))
             .flatMap(configuration::service);
     Optional<Contract> contract = route.flatMap(each -> configuration.contract(each.contract()));
+    Optional<Instant> deadline = contract.map(each -> deadline(exchange, each, arrivedAt));
     Optional<RefusalReason> refusal =
         fault(exchange, configuration)
             .or(() -> refusal(state, service, contract))
-            .or(
-                () ->
-                    overload(
-                        delay,
-                        configuration,
-                        contract.get(),
-                        deadline(exchange, contract.get(), arrivedAt),
-                        now));
+            .or(() -> overload(delay, configuration, contract.get(), deadline.get(), now));
     if (refusal.isPresent()) {
       refuse(exchange, identifier, refusal.get(), arrivedAt);
       return;
@@ -81,7 +75,7 @@
             contract.get(),
             service.get(),
             arrivedAt,
-            deadline(exchange, contract.get(), arrivedAt));
+            deadline.get());
     new EntryCall(parts, exchange, request, span).start();
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -23,14 +23,13 @@
  * The upstreams beside this daemon, as they announced themselves. Safe for use by several threads.
  */
 public final class LocalUpstreams {
-  private final Map<String, LocalUpstream> upstreams = new ConcurrentHashMap<>();
-
   /**
    * How long an upstream counts without a heartbeat: several of the usual 1.5 s, as one that runs
    * may be slow to tell. One that is gone shows at the connection.
    */
   private static final Duration HEARTBEAT_LAPSE = Duration.ofSeconds(10);
 
+  private final Map<String, LocalUpstream> upstreams = new ConcurrentHashMap<>();
   private final Departures departures = new Departures();
   private final AdmissionSettings settings;
   private final InstantSource clock;
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/OwnDialect.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/OwnDialect.java
@@ -20,10 +20,7 @@
           CallHeaders.DEADLINE,
           new HttpString(CallHeaders.PREFIX + "expected-upstream"),
           new HttpString(CallHeaders.PREFIX + "caller-service"),
-          new HttpString(CallHeaders.PREFIX + "not-run"),
-          new HttpString(CallHeaders.PREFIX + "upstream-load"),
-          new HttpString(CallHeaders.PREFIX + "upstream"),
-          new HttpString(CallHeaders.PREFIX + "cold-milliseconds"));
+          new HttpString(CallHeaders.PREFIX + "not-run"));
 
   // -- Dialect
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/LineWriter.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/LineWriter.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import org.parsleycart.link.Threads;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.JsonDocuments;
 
@@ -36,8 +37,7 @@
   private LineWriter(OutputStream output, int capacity, String name) {
     this.output = new PrintStream(output, false, StandardCharsets.UTF_8);
     this.lines = new ArrayBlockingQueue<>(capacity);
-    this.thread = new Thread(this::run, name);
-    this.thread.setDaemon(true);
+    this.thread = Threads.daemon(name, this::run);
   }
 
   /**
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
@@ -241,8 +241,9 @@
     gossip.statuses().forEach(update -> takeStatus(update, now));
     queueStatusOfSource(gossip.source());
     takeUrgent(gossip.urgent());
-    pulls.noteHead(gossip.source(), gossip.head(), head.get());
-    freshness.peerTold(gossip.head(), gossip.confirmationAge(), head.get(), now);
+    Head own = head.get();
+    pulls.noteHead(gossip.source(), gossip.head(), own);
+    freshness.peerTold(gossip.head(), gossip.confirmationAge(), own, now);
     table
         .find(gossip.source())
         .filter(record -> !record.zone().equals(table.self().zone()))
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/Rendezvous.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/Rendezvous.java
@@ -23,7 +23,9 @@
    * @param key the key
    */
   public static Optional<String> owner(Stream<String> members, String key) {
-    return owners(members, key, 1).stream().findFirst();
+    requireNonNull(members, "members is null");
+    requireNonNull(key, "key is null");
+    return members.max(order(key));
   }
 
   /**
@@ -36,10 +38,12 @@
   public static List<String> owners(Stream<String> members, String key, int count) {
     requireNonNull(members, "members is null");
     requireNonNull(key, "key is null");
-    Comparator<String> order =
-        Comparator.<String>comparingLong(member -> weight(member, key))
-            .thenComparing(Comparator.naturalOrder());
-    return members.sorted(order.reversed()).limit(count).toList();
+    return members.sorted(order(key).reversed()).limit(count).toList();
+  }
+
+  private static Comparator<String> order(String key) {
+    return Comparator.<String>comparingLong(member -> weight(member, key))
+        .thenComparing(Comparator.naturalOrder());
   }
 
   private static long weight(String member, String key) {
--- a/parsleycart-link/src/main/java/org/parsleycart/link/ChangeCodec.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/ChangeCodec.java
@@ -46,9 +46,7 @@
         reader.requiredNumber("acceptedAt", 0, Long.MAX_VALUE),
         readChange(reader, problems),
         new Digest(reader.requiredText("digest")),
-        reader.number(STATED_AFTER, 0, Long.MAX_VALUE).stream()
-            .mapToLong(Long::longValue)
-            .findFirst());
+        reader.optionalLong(STATED_AFTER, 0, Long.MAX_VALUE));
   }
 
   private static ConfigurationChange readChange(MappingReader reader, List<Problem> problems) {
--- a/parsleycart-link/src/main/java/org/parsleycart/link/dialect/CallHeaderNames.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/dialect/CallHeaderNames.java
@@ -13,19 +13,13 @@
  * @param expectedInstance the identifier of the only upstream that may run the request
  * @param callerService the service beside the daemon that took the request
  * @param notRun in answers: the upstream did not run the request
- * @param upstreamLoad in answers: running requests, waiting requests and slots, with commas
- * @param instance in answers: the identifier of the upstream
- * @param coldRemaining in answers: the milliseconds for which the upstream stays cold
  */
 public record CallHeaderNames(
     HttpString requestIdentifier,
     HttpString deadline,
     HttpString expectedInstance,
     HttpString callerService,
-    HttpString notRun,
-    HttpString upstreamLoad,
-    HttpString instance,
-    HttpString coldRemaining) {
+    HttpString notRun) {
 
   // -- construction
 
@@ -35,9 +29,6 @@
     requireNonNull(expectedInstance, "expectedInstance is null");
     requireNonNull(callerService, "callerService is null");
     requireNonNull(notRun, "notRun is null");
-    requireNonNull(upstreamLoad, "upstreamLoad is null");
-    requireNonNull(instance, "instance is null");
-    requireNonNull(coldRemaining, "coldRemaining is null");
   }
 
   // -- queries
--- a/parsleycart-model/src/main/java/org/parsleycart/model/CallerLimits.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/CallerLimits.java
@@ -53,16 +53,12 @@
   static CallerLimits from(MappingReader reader) {
     return new CallerLimits(
         reader.requiredName("name"),
-        bytes(reader, HEADER_BYTES),
-        bytes(reader, BODY_BYTES),
+        reader.optionalLong(HEADER_BYTES, 1, Long.MAX_VALUE),
+        reader.optionalLong(BODY_BYTES, 1, Long.MAX_VALUE),
         reader.duration(HEADER_TIMEOUT),
         reader.duration(IDLE_TIMEOUT));
   }
 
-  private static OptionalLong bytes(MappingReader reader, String key) {
-    return reader.number(key, 1, Long.MAX_VALUE).stream().mapToLong(Long::longValue).findFirst();
-  }
-
   // -- Resource
 
   @Override
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -18,8 +18,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.parsleycart.model.document.Document;
-import org.parsleycart.model.document.MappingReader;
-import org.parsleycart.model.document.MessagePackDocuments;
 import org.parsleycart.model.document.Problem;
 
 /**
@@ -33,8 +31,6 @@
   private static final Configuration EMPTY =
       new Configuration(0, new EnumMap<>(ResourceKind.class), List.of(), Map.of());
 
-  private static final String ZONE_CHANGES = "zoneChanges";
-
   /** How many change identifiers a snapshot remembers, so that a repeat is recognized. */
   static final int REMEMBERED_CHANGES = 512;
 
@@ -46,6 +42,7 @@
   private final Set<String> withdrawnZones;
   private final RolloutIndex rolloutIndex;
   private final Optional<Duration> shortestDeadline;
+  private final CallerLimits callerLimits;
 
   /**
    * The version that a change became.
@@ -57,7 +54,7 @@
 
   // -- construction
 
-  private Configuration(
+  Configuration(
       long version,
       Map<ResourceKind, SortedMap<String, Resource>> resources,
       List<AcceptedChange> recentChanges,
@@ -73,6 +70,10 @@
         section(ResourceKind.CONTRACT, Contract.class).stream()
             .map(Contract::deadline)
             .min(Comparator.naturalOrder());
+    this.callerLimits =
+        section(ResourceKind.CALLER_LIMITS, CallerLimits.class).stream()
+            .findFirst()
+            .orElseGet(CallerLimits::none);
   }
 
   /** Returns version 0, which holds nothing. */
@@ -88,33 +89,7 @@
    */
   public static Either<List<Problem>, Configuration> from(byte[] bytes) {
     requireNonNull(bytes, "bytes is null");
-    return MessagePackDocuments.parse(bytes).mapLeft(List::of).flatMap(Configuration::from);
-  }
-
-  private static Either<List<Problem>, Configuration> from(Document document) {
-    List<Problem> problems = new ArrayList<>();
-    MappingReader reader = MappingReader.of(document, problems);
-    long version = reader.requiredNumber("version", 0, Long.MAX_VALUE);
-    Map<ResourceKind, SortedMap<String, Resource>> resources = new EnumMap<>(ResourceKind.class);
-    for (ResourceKind kind : ResourceKind.values()) {
-      reader
-          .items(kind.section(), item -> kind.read(item, problems))
-          .forEach(resource -> put(resources, resource));
-    }
-    List<AcceptedChange> recent =
-        reader.items(
-            "recentChanges",
-            item -> {
-              MappingReader change = MappingReader.of(item, problems);
-              return new AcceptedChange(
-                  change.requiredText("change"),
-                  change.requiredNumber("version", 1, Long.MAX_VALUE));
-            });
-    Map<String, Long> zoneChanges = new TreeMap<>();
-    reader.texts(ZONE_CHANGES).forEach((zone, text) -> zoneChanges.put(zone, Long.valueOf(text)));
-    return problems.isEmpty()
-        ? Either.right(new Configuration(version, resources, List.copyOf(recent), zoneChanges))
-        : Either.left(problems);
+    return ConfigurationForm.read(bytes);
   }
 
   /**
@@ -188,8 +163,7 @@
     return new Configuration(version, resources, recentChanges, changes);
   }
 
-  private static void put(
-      Map<ResourceKind, SortedMap<String, Resource>> target, Resource resource) {
+  static void put(Map<ResourceKind, SortedMap<String, Resource>> target, Resource resource) {
     target.computeIfAbsent(resource.kind(), kind -> new TreeMap<>()).put(resource.name(), resource);
   }
 
@@ -316,9 +290,7 @@
 
   /** Returns what callers may send; nothing is bounded when no limits are stated. */
   public CallerLimits callerLimits() {
-    return section(ResourceKind.CALLER_LIMITS, CallerLimits.class).stream()
-        .findFirst()
-        .orElse(CallerLimits.none());
+    return callerLimits;
   }
 
   /** Returns all services. */
@@ -346,7 +318,18 @@
     return resources.values().stream().flatMap(each -> each.values().stream());
   }
 
-  private SortedMap<String, Resource> section(ResourceKind kind) {
+  /** Returns the changes remembered, oldest first. */
+  List<AcceptedChange> recentChanges() {
+    return recentChanges;
+  }
+
+  /** Returns the versions at which zones were last withdrawn or returned. */
+  Map<String, Long> zoneChanges() {
+    return zoneChanges;
+  }
+
+  /** Returns the resources of a kind by name. */
+  SortedMap<String, Resource> section(ResourceKind kind) {
     return resources.getOrDefault(kind, Collections.emptySortedMap());
   }
 
@@ -363,38 +346,12 @@
 
   /** Returns the resources as a document, in the form of a configuration file. */
   public Document.Mapping toDocument() {
-    Document.MappingBuilder builder = Document.mapping().with("version", version);
-    resources.forEach(
-        (kind, section) -> {
-          if (!section.isEmpty()) {
-            builder.with(
-                kind.section(),
-                Document.sequence(section.values().stream().map(Resource::toDocument).toList()));
-          }
-        });
-    return builder.build();
+    return ConfigurationForm.toDocument(this);
   }
 
   /** Returns the MessagePack form; equal snapshots give equal bytes. */
   public byte[] toBytes() {
-    Document.MappingBuilder builder = Document.mapping();
-    toDocument().entries().forEach(builder::with);
-    List<Document.Mapping> recent =
-        recentChanges.stream()
-            .map(
-                change ->
-                    Document.mapping()
-                        .with("change", change.identifier())
-                        .with("version", change.version())
-                        .build())
-            .toList();
-    Map<String, String> changes = new TreeMap<>();
-    zoneChanges.forEach((zone, changedAt) -> changes.put(zone, changedAt.toString()));
-    return MessagePackDocuments.format(
-        builder
-            .with("recentChanges", Document.sequence(recent))
-            .withTexts(ZONE_CHANGES, changes)
-            .build());
+    return ConfigurationForm.toBytes(this);
   }
 
   /** Returns the digest of {@link #toBytes()}. */
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Contract.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Contract.java
@@ -67,7 +67,7 @@
         deadline,
         reader.duration("latencyObjective").orElse(deadline),
         reader.number("maximumAttempts", 1, MAXIMUM_ATTEMPTS).orElse(DEFAULT_ATTEMPTS).intValue(),
-        reader.number("rank", 0, LARGEST_RANK).stream().mapToInt(Long::intValue).findFirst());
+        reader.optionalInt("rank", 0, LARGEST_RANK));
   }
 
   private static RequestKind kindFrom(MappingReader reader) {
--- a/parsleycart-model/src/main/java/org/parsleycart/model/UpstreamBounds.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/UpstreamBounds.java
@@ -21,7 +21,7 @@
     Optional<String> healthPath) {
   private static final UpstreamBounds NONE =
       new UpstreamBounds(OptionalInt.empty(), OptionalDouble.empty(), Optional.empty());
-  private static final long MOST_CONNECTIONS = 1_000_000;
+  private static final int MOST_CONNECTIONS = 1_000_000;
 
   // -- construction
 
@@ -39,9 +39,7 @@
   static UpstreamBounds from(MappingReader reader) {
     UpstreamBounds bounds =
         new UpstreamBounds(
-            reader.number("maximumConnections", 1, MOST_CONNECTIONS).stream()
-                .mapToInt(Long::intValue)
-                .findFirst(),
+            reader.optionalInt("maximumConnections", 1, MOST_CONNECTIONS),
             reader.decimal("coldCallsPerSecond", 0, MOST_CONNECTIONS),
             reader.text("healthPath"));
     reader.finish();
--- a/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/document/MappingReader.java
@@ -12,6 +12,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
@@ -155,6 +157,16 @@
                 : Optional.empty());
   }
 
+  /** Returns the whole number under the key as {@link #number} does, for those that hold longs. */
+  public OptionalLong optionalLong(String key, long minimum, long maximum) {
+    return number(key, minimum, maximum).stream().mapToLong(Long::longValue).findFirst();
+  }
+
+  /** Returns the whole number under the key as {@link #number} does, for those that hold ints. */
+  public OptionalInt optionalInt(String key, int minimum, int maximum) {
+    return number(key, minimum, maximum).stream().mapToInt(Long::intValue).findFirst();
+  }
+
   /** Returns the number under the key, whole or not, within the given bounds. */
   public OptionalDouble decimal(String key, double minimum, double maximum) {
     String wanted = "a number from " + minimum + " to " + maximum;
