Give up attempts at upstreams that never respond, and treat uploads as a kind of request

The kind upload was read as an unknown kind.

The entry states whether it can send the call elsewhere, so that an attempt is not given up for nothing. Calls that run at most once wait as before. Uploads are a kind of contract; bodies above replayableBodyBytes are streamed as before and never sent twice.

Each attempt has a log line with the chosen upstream, the believed load and its age, and the outcome. A call whose caller left before an attempt had a connection is not-run, and a status that was not sent is left out of its line.

--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/ZoneTrial.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/ZoneTrial.java
@@ -321,7 +321,10 @@
   private void recordAnswer(TrialUpstream upstream, TrialCall call) {
     call.router.loadTable.of(upstream.candidate).recordEnd();
     call.router.loadTable.of(upstream.candidate).recordAnswer(false, clock.instant());
-    call.router.loadTable.of(upstream.candidate).recordReport(upstream.admission.load());
+    call.router
+        .loadTable
+        .of(upstream.candidate)
+        .recordReport(upstream.admission.load(), clock.instant());
     if (!clock.instant().isAfter(call.arrivedAt.plus(DEADLINE))) {
       statistics.recordAnswer(Duration.between(start, call.arrivedAt));
     }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -85,7 +85,11 @@
       return;
     }
     connection = openedConnection;
-    setTimer(remaining(), this::deadlinePassed);
+    attempt
+        .responsePatience()
+        .ifPresentOrElse(
+            patience -> setTimer(patience, this::patienceExhausted),
+            () -> setTimer(remaining(), this::deadlinePassed));
     connection.sendRequest(
         request(),
         new ClientCallback<>() {
@@ -169,6 +173,9 @@
     if (isEnded) {
       return;
     }
+    if (attempt.responsePatience().isPresent()) {
+      setTimer(remaining(), this::deadlinePassed);
+    }
     ClientResponse response = answeredExchange.getResponse();
     maximumIdleTime = ConnectionPool.maximumIdleTime(response);
     boolean isFramingAccepted = attempt.hop().allowsUnframedResponse() || isFramed(response);
@@ -278,11 +285,15 @@
   }
 
   private void callerDisconnected() {
-    endAndClose(
-        new AttemptResult(AttemptOutcome.UNKNOWN, true, Fault.CALLER_GONE, OptionalInt.empty()));
+    AttemptOutcome outcome = connection == null ? AttemptOutcome.NOT_RUN : AttemptOutcome.UNKNOWN;
+    endAndClose(new AttemptResult(outcome, true, Fault.CALLER_GONE, OptionalInt.empty()));
     IoUtils.safeClose(attempt.exchange().getConnection());
   }
 
+  private void patienceExhausted() {
+    endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, Fault.UNRESPONSIVE));
+  }
+
   private void deadlinePassed() {
     if (isDelivering) {
       endAndClose(new AttemptResult(AttemptOutcome.UNKNOWN, true, Fault.LATE, OptionalInt.empty()));
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
@@ -2,8 +2,13 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.undertow.util.StatusCodes;
+import java.time.Instant;
 import java.util.OptionalInt;
+import java.util.stream.Stream;
 import org.parsleycart.decision.AttemptOutcome;
+import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.routing.UpstreamLoad;
 
 /**
  * The result of an attempt.
@@ -26,6 +31,8 @@
     BROKEN,
     /** The deadline passed. */
     LATE,
+    /** No response came in the time after which another upstream is tried. */
+    UNRESPONSIVE,
     /** The response belonged to another request, or had no length to prove it complete. */
     UNUSABLE,
     /** The upstream reported that it did not run the request. */
@@ -35,7 +42,23 @@
     /** The caller disconnected. */
     CALLER_GONE,
     /** The idempotency key was used before, or may have been. */
-    REPEATED
+    REPEATED;
+
+    /**
+     * Returns the fault that another daemon states as the reason of an unknown outcome; {@code
+     * BROKEN} if it states none that matters to an entry.
+     */
+    static Fault ofReason(String reason) {
+      return Stream.of(LATE, UNRESPONSIVE)
+          .filter(fault -> fault.name().equals(reason))
+          .findFirst()
+          .orElse(BROKEN);
+    }
+
+    /** Returns the fault of a refusal, {@code NONE} if the call did not reach the upstream. */
+    static Fault ofRefusal(RefusalReason reason) {
+      return reason == RefusalReason.REFUSED_BY_UPSTREAM ? REFUSED_BY_UPSTREAM : NONE;
+    }
   }
 
   AttemptResult {
@@ -48,4 +71,33 @@
   static AttemptResult undelivered(AttemptOutcome outcome, Fault fault) {
     return new AttemptResult(outcome, false, fault, OptionalInt.empty());
   }
+
+  // -- queries
+
+  /** Returns whether a daemon refused the call before it reached an upstream. */
+  boolean isRefusedBeforeArrival() {
+    return outcome == AttemptOutcome.NOT_RUN && fault == Fault.NONE;
+  }
+
+  // -- health of the upstream
+
+  /**
+   * Records what the result says about the health of the upstream.
+   *
+   * @param refusal the reason if a daemon refused the call, otherwise ignored
+   */
+  void recordHealth(UpstreamLoad load, RefusalReason refusal, Instant now) {
+    if (isDelivered && status.isPresent()) {
+      load.recordAnswer(status.getAsInt() >= StatusCodes.INTERNAL_SERVER_ERROR, now);
+    }
+    if (isRefusedBeforeArrival()) {
+      load.recordRefusal(refusal, now);
+    }
+    switch (fault) {
+      case UNREACHABLE, BROKEN, LATE, UNRESPONSIVE, UNUSABLE -> load.recordFailure(now);
+      case REFUSED_BY_UPSTREAM, FAILED_ANSWER -> load.recordAnswer(true, now);
+      case NONE, CALLER_GONE, REPEATED -> {}
+      default -> throw new IllegalStateException("unknown fault " + fault);
+    }
+  }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -7,7 +7,9 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -19,7 +21,6 @@
 import org.parsleycart.decision.admission.RetryAfterDelay;
 import org.parsleycart.decision.routing.Candidate;
 import org.parsleycart.decision.routing.UpstreamLoad;
-import org.parsleycart.model.document.Document;
 import org.xnio.IoUtils;
 
 /**
@@ -36,6 +37,7 @@
   private final CallTracing.CallSpan span;
   private final Cancellation cancellation = new Cancellation();
   private final UpstreamChoice upstreams;
+  private final AttemptHistory attempts = new AttemptHistory();
   private int arrivals; // attempts that reached an upstream
   private int refusals; // attempts that were refused or failed before they reached one
   private boolean mayHaveRun;
@@ -54,7 +56,7 @@
     this.exchange = requireNonNull(exchange, "exchange is null");
     this.request = requireNonNull(request, "request is null");
     this.span = requireNonNull(span, "span is null");
-    this.upstreams = new UpstreamChoice(dependencies, request, keyOf(exchange, request));
+    this.upstreams = UpstreamChoice.of(dependencies, exchange, request);
   }
 
   // -- progress
@@ -88,7 +90,7 @@
     dependencies.metrics().recordCallerDisconnect();
     cancellation.cancel();
     IoUtils.safeClose(exchange.getConnection());
-    finish(arrivals > 0 ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_RUN);
+    finish(mayHaveRun ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_RUN);
   }
 
   private void attempt(RequestBody body) {
@@ -101,6 +103,9 @@
       return;
     }
     UpstreamLoad load = dependencies.loads().of(candidate.get());
+    attempts.recordStart(
+        AttemptRecord.of(
+            candidate.get(), load, dependencies.state().zone(), dependencies.clock().instant()));
     load.recordStart();
     if (candidate.get().daemonIdentifier().equals(dependencies.daemonIdentifier())) {
       dependencies.metrics().recordLocalAttempt();
@@ -110,12 +115,6 @@
     }
   }
 
-  private static Optional<String> keyOf(HttpServerExchange exchange, RoutedRequest request) {
-    return request.contract().requestKind().isIdempotent()
-        ? Optional.empty()
-        : Optional.ofNullable(exchange.getRequestHeaders().getFirst(CallHeaders.IDEMPOTENCY_KEY));
-  }
-
   private void admitLocally(RequestBody body, Candidate candidate, UpstreamLoad load) {
     dependencies
         .admission()
@@ -130,6 +129,7 @@
                 request.deadline(),
                 span.traceParent(),
                 dependencies.state().callerService(),
+                isRetryable(body),
                 cancellation,
                 new LocalAttemptListener(body, load, candidate.zone())));
   }
@@ -144,6 +144,9 @@
         CallHeaders.SIGNATURE,
         dependencies.signer().sign(request.identifier(), candidate.identifier(), routeName));
     headers.put(CallHeaders.DEADLINE, Long.toString(Math.max(0, remaining().toMillis())));
+    if (isRetryable(body)) {
+      headers.put(CallHeaders.RETRYABLE, "true");
+    }
     dependencies
         .state()
         .callerService()
@@ -161,6 +164,7 @@
                     dependencies.daemonHop(),
                     headers,
                     request.deadline(),
+                    Optional.empty(),
                     new RemoteAttemptListener(body, load, candidate.zone()))));
   }
 
@@ -171,12 +175,10 @@
       return;
     }
     if (result.isDelivered()) {
-      finish(result.outcome());
+      endDelivered(result.outcome());
       return;
     }
-    boolean isRefusedBeforeArrival =
-        result.outcome() == AttemptOutcome.NOT_RUN && result.fault() == Fault.NONE;
-    boolean hasArrived = !isRefusedBeforeArrival && result.fault() != Fault.UNREACHABLE;
+    boolean hasArrived = !result.isRefusedBeforeArrival() && result.fault() != Fault.UNREACHABLE;
     arrivals += hasArrived ? 1 : 0;
     refusals += hasArrived ? 0 : 1;
     mayHaveRun |= result.outcome() == AttemptOutcome.UNKNOWN;
@@ -190,6 +192,18 @@
     }
   }
 
+  /** Ends the call after a response, whole or in part, or after the caller disconnected. */
+  private void endDelivered(AttemptOutcome outcome) {
+    if (outcome == AttemptOutcome.ANSWERED) {
+      finish(outcome);
+      return;
+    }
+    boolean isUncertain = outcome == AttemptOutcome.UNKNOWN;
+    arrivals += isUncertain ? 1 : 0;
+    mayHaveRun |= isUncertain;
+    finish(mayHaveRun ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_RUN);
+  }
+
   private boolean mayRetry(AttemptResult result, boolean hasArrived) {
     String service = request.service().name();
     return hasArrived
@@ -228,25 +242,27 @@
   }
 
   private void log(AttemptOutcome outcome, Duration duration) {
-    boolean isAnswered = outcome == AttemptOutcome.ANSWERED;
-    boolean isSlow = duration.compareTo(request.contract().latencyObjective()) > 0;
-    boolean isServerError = exchange.getStatusCode() >= FIRST_SERVER_ERROR;
-    if (isAnswered && !isSlow && !isServerError && !dependencies.log().isSuccessSampled()) {
+    CallEnd end =
+        new CallEnd(
+            request,
+            outcome,
+            duration,
+            exchange.isResponseStarted()
+                ? OptionalInt.of(exchange.getStatusCode())
+                : OptionalInt.empty(),
+            List.copyOf(upstreams.tried()),
+            arrivals,
+            refusals,
+            reasonForNoResponse(),
+            cancellation.isCancelled());
+    if (!end.isExceptional() && !dependencies.log().isSuccessSampled()) {
       return;
     }
-    Document.MappingBuilder fields =
-        request
-            .toLogFields(duration)
-            .with("outcome", outcome.toString())
-            .with("status", exchange.getStatusCode())
-            .with("upstreams", String.join(",", upstreams.tried()))
-            .with("arrivals", arrivals + (isAnswered ? 1 : 0))
-            .with("refusals", refusals);
-    if (!isAnswered) {
-      fields.with("reason", reasonForNoResponse());
-      fields.with("callerLeft", cancellation.isCancelled());
-    }
-    dependencies.log().write("call-ended", request.identifier(), fields);
+    attempts
+        .toLogFields()
+        .forEach(
+            attempt -> dependencies.log().write("attempt-ended", request.identifier(), attempt));
+    dependencies.log().write("call-ended", request.identifier(), end.toLogFields());
   }
 
   /** Returns why the caller got no response: the deadline, an incomplete response or a refusal. */
@@ -258,33 +274,22 @@
   }
 
   private void recordResult(UpstreamLoad load, AttemptResult result) {
+    Instant now = dependencies.clock().instant();
+    attempts.recordEnd(result, lastRefusal, now);
     load.recordEnd();
-    if (result.isDelivered() && result.status().isPresent()) {
-      boolean isServerError = result.status().getAsInt() >= FIRST_SERVER_ERROR;
-      load.recordAnswer(isServerError, dependencies.clock().instant());
-    }
-    if (result.outcome() == AttemptOutcome.NOT_RUN && result.fault() == Fault.NONE) {
-      load.recordRefusal(lastRefusal, dependencies.clock().instant());
-    }
-    recordFault(load, result.fault());
-  }
-
-  private void recordFault(UpstreamLoad load, Fault fault) {
-    switch (fault) {
-      case UNREACHABLE, BROKEN, LATE, UNUSABLE ->
-          load.recordFailure(dependencies.clock().instant());
-      case REFUSED_BY_UPSTREAM, FAILED_ANSWER ->
-          load.recordAnswer(true, dependencies.clock().instant());
-      case NONE, CALLER_GONE, REPEATED -> {}
-      default -> throw new IllegalStateException("unknown fault " + fault);
-    }
+    result.recordHealth(load, lastRefusal, now);
   }
 
   /** Returns whether a server error of the upstream is withheld and the call retried. */
   private boolean isRetriedInstead(RequestBody body, int status) {
     return status >= FIRST_SERVER_ERROR
-        && request.contract().requestKind().isIdempotent()
         && dependencies.dialect().isRequestIdentifiedByCaller()
+        && isRetryable(body);
+  }
+
+  /** Returns whether the call can be sent to another upstream after the attempt that runs now. */
+  private boolean isRetryable(RequestBody body) {
+    return request.contract().requestKind().isIdempotent()
         && body.isReplayable()
         && dependencies
             .retries()
@@ -308,7 +313,7 @@
 
     @Override
     public void loadReported(LoadReport report) {
-      load.recordReport(report);
+      load.recordReport(report, dependencies.clock().instant());
     }
 
     @Override
@@ -326,7 +331,7 @@
 
     @Override
     public void beforeDelivery(HttpServerExchange deliveredExchange, LoadReport report) {
-      load.recordReport(report);
+      load.recordReport(report, dependencies.clock().instant());
       dependencies.responses().addAnsweredHeaders(deliveredExchange, request.identifier(), zone);
     }
 
@@ -353,7 +358,9 @@
     @Override
     public Optional<AttemptResult> intercept(ClientResponse response) {
       String report = response.getResponseHeaders().getFirst(CallHeaders.LOAD);
-      Optional.ofNullable(report).flatMap(LoadReport::parse).ifPresent(load::recordReport);
+      Optional.ofNullable(report)
+          .flatMap(LoadReport::parse)
+          .ifPresent(parsed -> load.recordReport(parsed, dependencies.clock().instant()));
       AttemptOutcome outcome =
           Optional.ofNullable(response.getResponseHeaders().getFirst(CallHeaders.OUTCOME))
               .flatMap(AttemptOutcome::ofLabel)
@@ -370,14 +377,10 @@
       return Optional.of(new AttemptResult(outcome, false, faultOf(outcome, reason), status));
     }
 
-    /** Returns the fault, {@code NONE} if the call did not reach the upstream. */
     private Fault faultOf(AttemptOutcome outcome, String reason) {
-      if (outcome == AttemptOutcome.UNKNOWN) {
-        return Fault.LATE.name().equals(reason) ? Fault.LATE : Fault.BROKEN;
-      }
-      return lastRefusal == RefusalReason.REFUSED_BY_UPSTREAM
-          ? Fault.REFUSED_BY_UPSTREAM
-          : Fault.NONE;
+      return outcome == AttemptOutcome.UNKNOWN
+          ? Fault.ofReason(reason)
+          : Fault.ofRefusal(lastRefusal);
     }
 
     @Override
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamChoice.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamChoice.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.undertow.server.HttpServerExchange;
 import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.Optional;
@@ -24,19 +25,25 @@
 
   // -- construction
 
-  /**
-   * Creates a choice.
-   *
-   * @param idempotencyKey the key of a request that must run at most once, whichever entry receives
-   *     it; empty if the request has none
-   */
-  UpstreamChoice(
+  private UpstreamChoice(
       EntryDependencies dependencies, RoutedRequest request, Optional<String> idempotencyKey) {
     this.dependencies = requireNonNull(dependencies, "dependencies is null");
     this.request = requireNonNull(request, "request is null");
     this.idempotencyKey = requireNonNull(idempotencyKey, "idempotencyKey is null");
   }
 
+  /**
+   * Creates a choice for a request. If the request must run at most once, whichever entry receives
+   * it, its idempotency key decides.
+   */
+  static UpstreamChoice of(
+      EntryDependencies dependencies, HttpServerExchange exchange, RoutedRequest request) {
+    Optional<String> key =
+        Optional.ofNullable(exchange.getRequestHeaders().getFirst(CallHeaders.IDEMPOTENCY_KEY))
+            .filter(unused -> !request.contract().requestKind().isIdempotent());
+    return new UpstreamChoice(dependencies, request, key);
+  }
+
   // -- decision
 
   /** Chooses the next upstream and records it as tried. Returns empty if none is left. */
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/ScriptedUpstream.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/ScriptedUpstream.java
@@ -11,13 +11,14 @@
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 /** An upstream on a plain socket that answers each request with bytes chosen by the test. */
 final class ScriptedUpstream implements AutoCloseable {
   private final ServerSocket server;
   private final AtomicInteger requests = new AtomicInteger();
   private final List<String> heads = new CopyOnWriteArrayList<>();
-  private volatile String response = ok("fine");
+  private volatile Function<String, String> response = path -> ok("fine");
   private volatile boolean closesAfterResponse;
 
   ScriptedUpstream() throws IOException {
@@ -36,10 +37,16 @@
   }
 
   void respondWith(String bytes, boolean closeAfterResponse) {
-    response = bytes;
+    response = path -> bytes;
     closesAfterResponse = closeAfterResponse;
   }
 
+  /** Responds to each request with its own path. */
+  void respondWithPath() {
+    response = ScriptedUpstream::ok;
+    closesAfterResponse = false;
+  }
+
   int requests() {
     return requests.get();
   }
@@ -80,6 +87,7 @@
     StringBuilder head = new StringBuilder();
     int length = 0;
     String line = reader.readLine();
+    String path = line == null ? "" : line.split(" ", 3)[1];
     while (line != null && !line.isEmpty()) {
       String lowerCase = line.toLowerCase(Locale.ROOT);
       head.append(lowerCase).append('\n');
@@ -98,7 +106,7 @@
     }
     heads.add(head.toString());
     requests.incrementAndGet();
-    socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().write(response.apply(path).getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().flush();
     return !closesAfterResponse;
   }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
@@ -34,6 +35,7 @@
   private final AtomicInteger consecutiveFailures = new AtomicInteger();
   private volatile int reportedLimit = ASSUMED_LIMIT;
   private volatile int outstandingFromOthers;
+  private volatile Optional<Instant> reportedAt = Optional.empty();
   private volatile Instant ejectedUntil = Instant.MIN;
 
   // -- construction
@@ -53,8 +55,9 @@
   }
 
   /** Records the load report received with an answer. */
-  public void recordReport(LoadReport report) {
+  public void recordReport(LoadReport report, Instant now) {
     requireNonNull(report, "report is null");
+    reportedAt = Optional.of(now);
     reportedLimit = Math.max(1, report.limit());
     outstandingFromOthers = Math.max(0, report.outstandingCalls() - inFlight.get());
   }
@@ -119,6 +122,11 @@
     return outstandingFromOthers + inFlight.get();
   }
 
+  /** Returns the time since the last load report, empty if there was none. */
+  public Optional<Duration> reportAge(Instant now) {
+    return reportedAt.map(time -> Duration.between(time, now));
+  }
+
   /** Returns whether the upstream is excluded from selection after failures or a refusal. */
   public boolean isEjected(Instant now) {
     return now.isBefore(ejectedUntil);
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingTest.java
@@ -53,7 +53,7 @@
 
   private static void reportLoad(
       UpstreamLoadTable loads, Candidate candidate, int outstandingCalls) {
-    loads.of(candidate).recordReport(new LoadReport(outstandingCalls, 10, WarmUpState.WARM));
+    loads.of(candidate).recordReport(new LoadReport(outstandingCalls, 10, WarmUpState.WARM), NOW);
   }
 
   @Nested
--- a/parsleycart-model/src/main/java/org/parsleycart/model/RequestKind.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/RequestKind.java
@@ -8,6 +8,8 @@
   INTERACTIVE_READ("interactive-read", 1, true),
   /** A charge, booking or order that must run at most once. */
   NON_IDEMPOTENT_WRITE("non-idempotent-write", 1, false),
+  /** A large body that must be stored at most once; it is transferred without being held whole. */
+  UPLOAD("upload", 1, false),
   /** Work that can be delayed or repeated. */
   DEFERRABLE("deferrable", 2, true);
 
