--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/MaintenanceWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/MaintenanceWorker.java
@@ -14,6 +14,7 @@
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.membership.MemberStatus;
+import org.parsleycart.decision.message.UrgentFact;
 import org.parsleycart.model.AvailabilityZone;
 import org.parsleycart.model.Configuration;
 import org.tinylog.Logger;
@@ -25,6 +26,7 @@
  * reopens admission when the zone is withdrawn or returned, and records events for operators.
  */
 public final class MaintenanceWorker {
+  private static final long NEVER_CHECKED = -1;
   private static final long STEP_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final MeshState state;
@@ -34,6 +36,8 @@
   private final WorkerLoop loop;
   private Configuration lastConfiguration;
   private Set<String> lastWithdrawnZones = Set.of();
+  private long zonesCheckedAtVersion = NEVER_CHECKED;
+  private List<UrgentFact> zonesCheckedWithFacts = List.of();
   private boolean admissionClosed;
 
   // -- construction
@@ -91,6 +95,12 @@
 
   private void recordZoneChanges() {
     Configuration current = state.configuration();
+    List<UrgentFact> facts = state.facts().all();
+    if (current.version() == zonesCheckedAtVersion && facts.equals(zonesCheckedWithFacts)) {
+      return;
+    }
+    zonesCheckedAtVersion = current.version();
+    zonesCheckedWithFacts = facts;
     Set<String> withdrawn =
         current.zones().stream()
             .map(AvailabilityZone::name)
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
@@ -29,7 +29,8 @@
   /** A pull that does not fit in the queue counts as failed and is planned again. */
   private static final int QUEUE_CAPACITY = 16;
 
-  private static final long QUEUE_WAIT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+  /** A queued task ends the wait at once; only the end of the worker waits for the timeout. */
+  private static final long QUEUE_WAIT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
   private final FrameClient frameClient;
   private final ConfigurationLog log;
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformFeedWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformFeedWorker.java
@@ -53,6 +53,7 @@
   private final RandomGenerator random;
   private final WorkerLoop loop;
   private Duration pause = MINIMUM_PAUSE;
+  private Optional<MembershipView> lastView = Optional.empty();
 
   // -- construction
 
@@ -102,7 +103,10 @@
 
   private void step() {
     MembershipView view = members.get();
-    updateRole(FeedReadPolicy.isWatcher(view.alive().toList(), view.self()));
+    if (!Optional.of(view).equals(lastView)) {
+      lastView = Optional.of(view);
+      updateRole(FeedReadPolicy.isWatcher(view.alive().toList(), view.self()));
+    }
     if (isWatcher.get()) {
       read(LONG_POLL_DURATION, MAXIMUM_WATCHER_PAUSE);
     } else if (isReadDue(view)) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/LineWriter.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/LineWriter.java
@@ -30,6 +30,7 @@
   private final PrintStream output;
   private final AtomicLong dropped = new AtomicLong();
   private final Thread thread;
+  private volatile boolean isIdle;
   private volatile boolean isStopped;
 
   // -- construction
@@ -60,17 +61,29 @@
     boolean isAdded = lines.offer(requireNonNull(line, "line is null"));
     if (!isAdded) {
       dropped.incrementAndGet();
+    } else if (isIdle) {
+      LockSupport.unpark(thread);
     }
     return isAdded;
   }
 
   private void run() {
     while (!isStopped) {
+      awaitLine();
       LockSupport.parkNanos(WRITE_INTERVAL.toNanos());
       writeQueued();
     }
   }
 
+  /** Waits without a timeout, so that a writer without lines uses no processor time. */
+  private void awaitLine() {
+    isIdle = true;
+    while (lines.isEmpty() && !isStopped) {
+      LockSupport.park(this);
+    }
+    isIdle = false;
+  }
+
   private synchronized void writeQueued() {
     List<Document.Mapping> queued = new ArrayList<>();
     lines.drainTo(queued);
@@ -91,6 +104,7 @@
   @Override
   public void close() {
     isStopped = true;
+    LockSupport.unpark(thread);
     writeQueued();
   }
 }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/DatagramLink.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/DatagramLink.java
@@ -3,29 +3,36 @@
 import static java.util.Objects.requireNonNull;
 
 import java.io.IOException;
-import java.net.DatagramPacket;
-import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
-import java.net.SocketTimeoutException;
-import java.util.Arrays;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.util.Optional;
 import org.parsleycart.decision.message.ControlMessage;
 import org.parsleycart.decision.message.OutgoingMessage;
+import org.xnio.IoUtils;
 
 /** Sends and receives messages as datagrams. Not safe for use by several threads. */
 public final class DatagramLink implements AutoCloseable {
   private static final int MAXIMUM_DATAGRAM_BYTES = 16 * 1024;
 
-  private final DatagramSocket socket;
+  private final DatagramChannel channel;
+  private final Selector selector;
   private final EnvelopeCodec codec;
   private final ControlTrafficCounters counters;
-  private final byte[] buffer = new byte[MAXIMUM_DATAGRAM_BYTES];
+  private final ByteBuffer buffer = ByteBuffer.allocateDirect(MAXIMUM_DATAGRAM_BYTES);
 
   // -- construction
 
   private DatagramLink(
-      DatagramSocket socket, EnvelopeCodec codec, ControlTrafficCounters counters) {
-    this.socket = socket;
+      DatagramChannel channel,
+      Selector selector,
+      EnvelopeCodec codec,
+      ControlTrafficCounters counters) {
+    this.channel = requireNonNull(channel, "channel is null");
+    this.selector = requireNonNull(selector, "selector is null");
     this.codec = requireNonNull(codec, "codec is null");
     this.counters = requireNonNull(counters, "counters is null");
   }
@@ -39,7 +46,17 @@
   public static DatagramLink open(
       InetSocketAddress address, EnvelopeCodec codec, ControlTrafficCounters counters)
       throws IOException {
-    return new DatagramLink(new DatagramSocket(address), codec, counters);
+    DatagramChannel channel = DatagramChannel.open();
+    try {
+      channel.bind(address);
+      channel.configureBlocking(false);
+      Selector selector = Selector.open();
+      channel.register(selector, SelectionKey.OP_READ);
+      return new DatagramLink(channel, selector, codec, counters);
+    } catch (IOException | RuntimeException e) {
+      IoUtils.safeClose(channel);
+      throw e;
+    }
   }
 
   // -- operations
@@ -54,8 +71,12 @@
     }
     byte[] bytes = codec.encode(outgoing.message());
     try {
-      socket.send(new DatagramPacket(bytes, bytes.length, target.get()));
-      counters.recordSent(bytes.length);
+      boolean isSent = channel.send(ByteBuffer.wrap(bytes), target.get()) == bytes.length;
+      if (isSent) {
+        counters.recordSent(bytes.length);
+      } else {
+        counters.recordRejected();
+      }
     } catch (IOException e) {
       counters.recordRejected();
     }
@@ -66,19 +87,23 @@
    * dropped, with an empty result.
    */
   public Optional<ControlMessage> receive(int timeoutMilliseconds) {
-    DatagramPacket packet = new DatagramPacket(buffer, buffer.length);
     try {
-      socket.setSoTimeout(Math.max(1, timeoutMilliseconds));
-      socket.receive(packet);
-    } catch (SocketTimeoutException e) {
-      return Optional.empty();
+      int readyChannels = selector.select(ready -> {}, Math.max(1, timeoutMilliseconds));
+      buffer.clear();
+      if (readyChannels == 0 || channel.receive(buffer) == null) {
+        return Optional.empty();
+      }
+    } catch (ClosedSelectorException e) {
+      return Optional.empty(); // the link was closed meanwhile
     } catch (IOException e) {
       counters.recordRejected();
       return Optional.empty();
     }
-    counters.recordReceived(packet.getLength());
-    Optional<ControlMessage> message =
-        codec.decode(Arrays.copyOf(buffer, packet.getLength())).toJavaOptional();
+    buffer.flip();
+    byte[] bytes = new byte[buffer.remaining()];
+    buffer.get(bytes);
+    counters.recordReceived(bytes.length);
+    Optional<ControlMessage> message = codec.decode(bytes).toJavaOptional();
     if (message.isEmpty()) {
       counters.recordRejected();
     }
@@ -87,6 +112,7 @@
 
   @Override
   public void close() {
-    socket.close();
+    IoUtils.safeClose(selector);
+    IoUtils.safeClose(channel);
   }
 }
