Revert giving up attempts at upstreams that do not respond: LOST at a planned stop

Around planned work the silence of a server is no reason to end an answer sooner, and the daemon beside the upstream cannot know that the entry will be stopped while it waits. Ruled out: to state the attempt as retryable only while the entry is not stopping (the attempt began before the SIGTERM); a larger multiple of the usual latency (rarer, not excluded).

A second attempt beside the first, of which the first answer is delivered, would break off nothing: left to the open issue.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -101,7 +101,6 @@
                     deadline(exchange, arrivedAt),
                     span.traceParent(),
                     Optional.empty(),
-                    exchange.getRequestHeaders().contains(CallHeaders.RETRYABLE),
                     new Cancellation(),
                     new PeerResponder(exchange, identifier, span)),
                 span),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -25,7 +25,6 @@
 import org.parsleycart.decision.admission.AdmissionDecision;
 import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.RefusalReason;
-import org.parsleycart.decision.routing.ResponsePatience;
 import org.parsleycart.link.dialect.CallHeaderNames;
 import org.parsleycart.link.dialect.Dialect;
 import org.parsleycart.model.Service;
@@ -182,13 +181,8 @@
     CallHeaders.putTraceParent(headers, call.traceParent());
     headers.put(names.expectedInstance(), call.upstream());
     call.callerService().ifPresent(service -> headers.put(names.callerService(), service));
-    Duration remaining = Duration.between(clock.instant(), call.deadline());
-    headers.put(names.deadline(), Long.toString(Math.max(1, remaining.toMillis())));
-    Optional<Duration> responsePatience =
-        call.isRetryable()
-            ? ResponsePatience.of(
-                call.contract(), upstream.admission().usualLatency(call.route()), remaining)
-            : Optional.empty();
+    long remaining = Duration.between(clock.instant(), call.deadline()).toMillis();
+    headers.put(names.deadline(), Long.toString(Math.max(1, remaining)));
     call.cancellation()
         .onCancel(
             forwarder.forward(
@@ -200,7 +194,6 @@
                     call.callerService().isPresent() ? entryHop : relayedHop,
                     headers,
                     call.deadline(),
-                    responsePatience,
                     listener)));
   }
 
@@ -267,7 +260,6 @@
       }
       return switch (result.fault()) {
         case NONE, LATE, FAILED_ANSWER -> upstream.admission().recordAnswer(call.route(), latency);
-        case UNRESPONSIVE -> upstream.admission().recordOverload();
         case UNREACHABLE -> upstream.admission().recordConnectionFailure();
         case BROKEN -> upstream.admission().recordFailure();
         case UNUSABLE, CALLER_GONE, REPEATED, REFUSED_BY_UPSTREAM ->
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Attempt.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/Attempt.java
@@ -5,7 +5,6 @@
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HttpString;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
@@ -19,8 +18,6 @@
  * @param hop the header and framing rules for the process
  * @param headers mesh headers to add to the request
  * @param deadline time at which the attempt is aborted
- * @param responsePatience how long to wait for the head of the response once connected, empty to
- *     wait until the deadline
  * @param listener receives the response head and the result of the attempt
  */
 record Attempt(
@@ -31,7 +28,6 @@
     HopPolicy hop,
     Map<HttpString, String> headers,
     Instant deadline,
-    Optional<Duration> responsePatience,
     Listener listener) {
 
   Attempt {
@@ -42,7 +38,6 @@
     requireNonNull(hop, "hop is null");
     headers = Map.copyOf(headers);
     requireNonNull(deadline, "deadline is null");
-    requireNonNull(responsePatience, "responsePatience is null");
     requireNonNull(listener, "listener is null");
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -85,11 +85,7 @@
       return;
     }
     connection = openedConnection;
-    attempt
-        .responsePatience()
-        .ifPresentOrElse(
-            patience -> setTimer(patience, this::patienceExhausted),
-            () -> setTimer(remaining(), this::deadlinePassed));
+    setTimer(remaining(), this::deadlinePassed);
     connection.sendRequest(
         request(),
         new ClientCallback<>() {
@@ -173,9 +169,6 @@
     if (isEnded) {
       return;
     }
-    if (attempt.responsePatience().isPresent()) {
-      setTimer(remaining(), this::deadlinePassed);
-    }
     ClientResponse response = answeredExchange.getResponse();
     maximumIdleTime = ConnectionPool.maximumIdleTime(response);
     boolean isFramingAccepted = attempt.hop().allowsUnframedResponse() || isFramed(response);
@@ -290,10 +283,6 @@
     IoUtils.safeClose(attempt.exchange().getConnection());
   }
 
-  private void patienceExhausted() {
-    endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, Fault.UNRESPONSIVE));
-  }
-
   private void deadlinePassed() {
     if (isDelivering) {
       endAndClose(new AttemptResult(AttemptOutcome.UNKNOWN, true, Fault.LATE, OptionalInt.empty()));
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
@@ -5,7 +5,6 @@
 import io.undertow.util.StatusCodes;
 import java.time.Instant;
 import java.util.OptionalInt;
-import java.util.stream.Stream;
 import org.parsleycart.decision.AttemptOutcome;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.routing.UpstreamLoad;
@@ -31,8 +30,6 @@
     BROKEN,
     /** The deadline passed. */
     LATE,
-    /** No response came in the time after which another upstream is tried. */
-    UNRESPONSIVE,
     /** The response belonged to another request, or had no length to prove it complete. */
     UNUSABLE,
     /** The upstream reported that it did not run the request. */
@@ -49,10 +46,7 @@
      * BROKEN} if it states none that matters to an entry.
      */
     static Fault ofReason(String reason) {
-      return Stream.of(LATE, UNRESPONSIVE)
-          .filter(fault -> fault.name().equals(reason))
-          .findFirst()
-          .orElse(BROKEN);
+      return LATE.name().equals(reason) ? LATE : BROKEN;
     }
 
     /** Returns the fault of a refusal, {@code NONE} if the call did not reach the upstream. */
@@ -94,7 +88,7 @@
       load.recordRefusal(refusal, now);
     }
     switch (fault) {
-      case UNREACHABLE, BROKEN, LATE, UNRESPONSIVE, UNUSABLE -> load.recordFailure(now);
+      case UNREACHABLE, BROKEN, LATE, UNUSABLE -> load.recordFailure(now);
       case REFUSED_BY_UPSTREAM, FAILED_ANSWER -> load.recordAnswer(true, now);
       case NONE, CALLER_GONE, REPEATED -> {}
       default -> throw new IllegalStateException("unknown fault " + fault);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -20,9 +20,6 @@
   static final HttpString ROUTE = new HttpString(PREFIX + "route");
   static final HttpString DEADLINE = new HttpString(PREFIX + "deadline-milliseconds");
 
-  /** Whether the entry can send the call to another upstream if this one does not respond. */
-  static final HttpString RETRYABLE = new HttpString(PREFIX + "retryable");
-
   static final HttpString SIGNATURE = new HttpString(PREFIX + "signature");
   static final HttpString OUTCOME = new HttpString(PREFIX + "outcome");
   static final HttpString REASON = new HttpString(PREFIX + "reason");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -129,7 +129,6 @@
                 request.deadline(),
                 span.traceParent(),
                 dependencies.state().callerService(),
-                isRetryable(body),
                 cancellation,
                 new LocalAttemptListener(body, load, candidate.zone())));
   }
@@ -144,9 +143,6 @@
         CallHeaders.SIGNATURE,
         dependencies.signer().sign(request.identifier(), candidate.identifier(), routeName));
     headers.put(CallHeaders.DEADLINE, Long.toString(Math.max(0, remaining().toMillis())));
-    if (isRetryable(body)) {
-      headers.put(CallHeaders.RETRYABLE, "true");
-    }
     dependencies
         .state()
         .callerService()
@@ -164,7 +160,6 @@
                     dependencies.daemonHop(),
                     headers,
                     request.deadline(),
-                    Optional.empty(),
                     new RemoteAttemptListener(body, load, candidate.zone()))));
   }
 
@@ -283,13 +278,8 @@
   /** Returns whether a server error of the upstream is withheld and the call retried. */
   private boolean isRetriedInstead(RequestBody body, int status) {
     return status >= FIRST_SERVER_ERROR
+        && request.contract().requestKind().isIdempotent()
         && dependencies.dialect().isRequestIdentifiedByCaller()
-        && isRetryable(body);
-  }
-
-  /** Returns whether the call can be sent to another upstream after the attempt that runs now. */
-  private boolean isRetryable(RequestBody body) {
-    return request.contract().requestKind().isIdempotent()
         && body.isReplayable()
         && dependencies
             .retries()
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
@@ -20,8 +20,6 @@
  * @param deadline time after which a response is useless to the caller
  * @param traceParent the trace context for the upstream, empty if there is none
  * @param callerService the service beside the entry; empty if another daemon is the entry
- * @param isRetryable whether the entry can send the call to another upstream if this one does not
- *     respond
  * @param cancellation cancels the call when the caller disconnects
  * @param listener receives the refusal or the result on the input/output thread of the exchange
  */
@@ -35,7 +33,6 @@
     Instant deadline,
     String traceParent,
     Optional<String> callerService,
-    boolean isRetryable,
     Cancellation cancellation,
     Listener listener) {
 
@@ -118,7 +115,6 @@
         deadline,
         traceParent,
         callerService,
-        isRetryable,
         cancellation,
         newListener);
   }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -307,11 +307,6 @@
     return running;
   }
 
-  /** Returns the usual latency of a route at the upstream, or zero before its first answer. */
-  public synchronized Duration usualLatency(String route) {
-    return limit.usualLatency(requireNonNull(route, "route is null"));
-  }
-
   /** Returns the load to report to entry daemons. */
   public synchronized LoadReport load() {
     WarmUpState warmUpState =
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
@@ -19,7 +19,7 @@
    * Minimum remaining time for another attempt, about two hops and a short answer. With less,
    * another attempt is not worth its cost.
    */
-  static final Duration MINIMUM_USEFUL_TIME = Duration.ofMillis(5);
+  private static final Duration MINIMUM_USEFUL_TIME = Duration.ofMillis(5);
 
   /**
    * Number of refusals at which a call is no longer redirected if the upstream accepts no calls. So
