--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -32,7 +32,6 @@
 
 /** Admits calls to the upstreams beside this daemon and forwards the admitted calls. */
 public final class AdmissionService {
-  private static final int FIRST_SERVER_ERROR = 500;
   private static final int MISDIRECTED_REQUEST = 421;
 
   private final MeshState state;
@@ -274,7 +273,7 @@
       Series series =
           new Series(upstream.announced().service(), upstream.announced().version(), call.route());
       boolean isFailed =
-          result.fault() != Fault.NONE || result.status().orElse(0) >= FIRST_SERVER_ERROR;
+          result.fault() != Fault.NONE || AttemptResult.isServerError(result.status().orElse(0));
       if (isFailed) {
         statistics.recordFailure(series);
       } else {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
@@ -68,6 +68,11 @@
 
   // -- queries
 
+  /** Returns whether a status code reports a failure of the server. */
+  static boolean isServerError(int statusCode) {
+    return statusCode >= StatusCodes.INTERNAL_SERVER_ERROR;
+  }
+
   /** Returns whether a daemon refused the call before it reached an upstream. */
   boolean isRefusedBeforeArrival() {
     return outcome == AttemptOutcome.NOT_RUN && fault == Fault.NONE;
@@ -82,7 +87,7 @@
    */
   void recordHealth(UpstreamLoad load, RefusalReason refusal, Instant now) {
     if (isDelivered && status.isPresent()) {
-      load.recordAnswer(status.getAsInt() >= StatusCodes.INTERNAL_SERVER_ERROR, now);
+      load.recordAnswer(isServerError(status.getAsInt()), now);
     }
     if (isRefusedBeforeArrival()) {
       load.recordRefusal(refusal, now);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallEnd.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallEnd.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.undertow.util.StatusCodes;
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalInt;
@@ -49,7 +48,7 @@
   /** Returns whether the call was not answered, failed at its upstream or missed its objective. */
   boolean isExceptional() {
     boolean isSlow = duration.compareTo(request.contract().latencyObjective()) > 0;
-    boolean isServerError = status.orElse(0) >= StatusCodes.INTERNAL_SERVER_ERROR;
+    boolean isServerError = AttemptResult.isServerError(status.orElse(0));
     return !isAnswered() || isSlow || isServerError;
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -19,7 +19,6 @@
   static final HttpString UPSTREAM = new HttpString(PREFIX + "upstream");
   static final HttpString ROUTE = new HttpString(PREFIX + "route");
   static final HttpString DEADLINE = new HttpString(PREFIX + "deadline-milliseconds");
-
   static final HttpString SIGNATURE = new HttpString(PREFIX + "signature");
   static final HttpString OUTCOME = new HttpString(PREFIX + "outcome");
   static final HttpString REASON = new HttpString(PREFIX + "reason");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -29,8 +29,6 @@
  * thread of the exchange.
  */
 final class EntryCall {
-  private static final int FIRST_SERVER_ERROR = 500;
-
   private final EntryDependencies dependencies;
   private final HttpServerExchange exchange;
   private final RoutedRequest request;
@@ -277,7 +275,7 @@
 
   /** Returns whether a server error of the upstream is withheld and the call retried. */
   private boolean isRetriedInstead(RequestBody body, int status) {
-    return status >= FIRST_SERVER_ERROR
+    return AttemptResult.isServerError(status)
         && request.contract().requestKind().isIdempotent()
         && dependencies.dialect().isRequestIdentifiedByCaller()
         && body.isReplayable()
