Write a line for each configuration version that comes into force

Callers were answered by an older configuration, and no line told when a version came into force at a daemon, from where and how long it worked on it. No decision changes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/PlatformComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/PlatformComponents.java
@@ -39,7 +39,7 @@
       return withConfigurationStore(store.toPlatform(), log, clock);
     }
     ConfigurationAuthority authority =
-        new OperatorConfiguration(store, log, Set.copyOf(settings.zones()));
+        new OperatorConfiguration(store, log, Set.copyOf(settings.zones()), clock);
     return new PlatformComponents(store.toPlatform(), authority, storeClock);
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
@@ -3,6 +3,8 @@
 import static java.util.Objects.requireNonNull;
 
 import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +22,7 @@
 import org.parsleycart.link.BoundedQueue;
 import org.parsleycart.link.FrameClient;
 import org.parsleycart.link.LinkError;
+import org.tinylog.Logger;
 
 /**
  * Requests missing configuration versions and member records from peers. One thread requests
@@ -101,7 +104,8 @@
     Either<LinkError, ControlMessage> answer =
         frameClient.send(request.target(), request.message(), PullPlanner.PULL_TIMEOUT);
     if (answer.isRight() && answer.get() instanceof ConfigurationAnswer configurationAnswer) {
-      Either<ConfigurationUpdateError, Integer> result = log.receive(configurationAnswer);
+      Either<ConfigurationUpdateError, Integer> result =
+          receive(request.target(), configurationAnswer);
       gossipCommands.accept(
           (protocol, pullPlanner) -> {
             pullPlanner.recordAnswer(result.isRight(), clock.instant());
@@ -109,6 +113,11 @@
             return hasNewVersions ? protocol.announce() : List.of();
           });
     } else {
+      Logger.info(
+          "pull of versions from {} failed, version {} stays: {}",
+          request.target(),
+          log.current().version(),
+          answer.isLeft() ? answer.getLeft().message() : "unexpected answer");
       gossipCommands.accept(
           (protocol, pullPlanner) -> {
             pullPlanner.recordFailure(clock.instant());
@@ -117,6 +126,36 @@
     }
   }
 
+  private Either<ConfigurationUpdateError, Integer> receive(
+      String peer, ConfigurationAnswer answer) {
+    Instant arrivedAt = clock.instant();
+    long previousVersion = log.current().version();
+    Either<ConfigurationUpdateError, Integer> result = log.receive(answer);
+    long milliseconds = Duration.between(arrivedAt, clock.instant()).toMillis();
+    result
+        .peek(
+            applied ->
+                Logger.info(
+                    "version {} in force after version {}: {} from {}, {} applied, {} ms after they"
+                        + " arrived",
+                    log.current().version(),
+                    previousVersion,
+                    answer.snapshot().isPresent()
+                        ? "snapshot"
+                        : answer.changes().size() + " changes",
+                    peer,
+                    applied,
+                    milliseconds))
+        .peekLeft(
+            error ->
+                Logger.info(
+                    "versions from {} cannot be applied, version {} stays: {}",
+                    peer,
+                    log.current().version(),
+                    error));
+    return result;
+  }
+
   private void synchronizeNow(String peer, MembershipRequest request) {
     Either<LinkError, ControlMessage> answer =
         frameClient.send(peer, request, PullPlanner.PULL_TIMEOUT);
