Apply the versions of one pull together, with one digest of the whole configuration

A daemon that pulled many versions built, checked and digested the whole configuration once for each of them. In a storm of changes to a large configuration more versions are confirmed than a small core can rebuild, and callers get answers of an older one.

Change: diffs of one answer are combined and applied as one; all of them are kept for peers. Changes of the product's own store, which count versions one by one, are applied as before. The wire stays the same.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/VersionedChange.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/VersionedChange.java
@@ -41,11 +41,31 @@
 
   // -- queries
 
+  /** Returns whether this is a diff between two complete versions. */
+  public boolean isDiff() {
+    return diffBase.isPresent();
+  }
+
   /** Returns the version to which the change applies. */
   public long previousVersion() {
     return diffBase.orElse(version - 1);
   }
 
+  /**
+   * Returns the diff that has the effect of this diff and then of the next one.
+   *
+   * @param next a diff whose {@linkplain #previousVersion() previous version} is this version
+   */
+  public VersionedChange followedBy(VersionedChange next) {
+    requireNonNull(next, "next is null");
+    return new VersionedChange(
+        next.version(),
+        next.acceptedAt(),
+        change.followedBy(next.change()),
+        next.digest(),
+        diffBase);
+  }
+
   /**
    * Applies this change to a configuration.
    *
@@ -54,6 +74,6 @@
    */
   public Either<List<Violation>, Configuration> applyTo(Configuration base) {
     requireNonNull(base, "base is null");
-    return diffBase.isPresent() ? base.withDifference(version, change) : base.apply(change);
+    return isDiff() ? base.withDifference(version, change) : base.apply(change);
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
@@ -3,10 +3,11 @@
 import static java.util.Objects.requireNonNull;
 
 import io.vavr.control.Either;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.stream.Stream;
 import org.parsleycart.decision.message.ConfigurationHead;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationAnswer;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
@@ -15,6 +16,7 @@
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.model.Digest;
+import org.parsleycart.model.Violation;
 
 /**
  * The configuration in force at one daemon and the recent changes that led to it.
@@ -27,6 +29,7 @@
   /** The number of changes kept for peers that lag. Peers that need older ones get a snapshot. */
   static final int MAXIMUM_KEPT_CHANGES = 256;
 
+  private final Function<Configuration, Digest> digester;
   private volatile State state;
   private volatile long readThroughVersion;
 
@@ -34,13 +37,20 @@
 
   // -- construction
 
-  private ConfigurationLog(Configuration configuration) {
-    this.state = new State(configuration, configuration.digest(), List.of());
+  private ConfigurationLog(Configuration configuration, Function<Configuration, Digest> digester) {
+    this.digester = digester;
+    this.state = new State(configuration, digester.apply(configuration), List.of());
   }
 
   /** Returns a log that holds version 0. */
   public static ConfigurationLog empty() {
-    return new ConfigurationLog(Configuration.empty());
+    return empty(Configuration::digest);
+  }
+
+  /** Returns a log that holds version 0 and computes digests with the given function. */
+  static ConfigurationLog empty(Function<Configuration, Digest> digester) {
+    return new ConfigurationLog(
+        Configuration.empty(), requireNonNull(digester, "digester is null"));
   }
 
   // -- queries
@@ -108,8 +118,12 @@
   /**
    * Applies the answer of a peer or of the platform.
    *
-   * @return the number of versions that took effect, or the error that stopped the update; versions
-   *     before the failed one stay in force
+   * <p>Diffs between complete versions take effect together, as one version: applying a version
+   * takes time in proportion to the whole configuration, and more versions may follow meanwhile.
+   *
+   * @return the number of versions by which the log advanced, or the error that stopped the update;
+   *     versions before the failed one stay in force, except that diffs take effect all or not at
+   *     all
    */
   public synchronized Either<ConfigurationUpdateError, Integer> receive(
       ConfigurationAnswer answer) {
@@ -117,8 +131,37 @@
     if (answer.snapshot().isPresent()) {
       return receiveSnapshot(answer.head(), answer.snapshot().get());
     }
+    return answer.changes().stream().allMatch(VersionedChange::isDiff)
+        ? appendDiffs(answer.changes())
+        : appendEach(answer.changes());
+  }
+
+  private Either<ConfigurationUpdateError, Integer> appendDiffs(List<VersionedChange> diffs) {
+    State current = state;
+    long newestHeldVersion = readThroughVersion();
+    List<VersionedChange> due =
+        diffs.stream().filter(diff -> diff.version() > newestHeldVersion).toList();
+    if (due.isEmpty()) {
+      return Either.right(0);
+    }
+    long version = current.configuration().version();
+    for (VersionedChange diff : due) {
+      if (diff.previousVersion() != version) {
+        return Either.left(new ConfigurationUpdateError.Gap(version + 1, diff.version()));
+      }
+      version = diff.version();
+    }
+    return due.stream()
+        .reduce(VersionedChange::followedBy)
+        .get()
+        .applyTo(current.configuration())
+        .mapLeft(violations -> invalid(due.get(due.size() - 1), violations))
+        .flatMap(next -> install(next, due, current.changes()));
+  }
+
+  private Either<ConfigurationUpdateError, Integer> appendEach(List<VersionedChange> changes) {
     int applied = 0;
-    for (VersionedChange change : answer.changes()) {
+    for (VersionedChange change : changes) {
       Either<ConfigurationUpdateError, Boolean> result = append(change);
       if (result.isLeft()) {
         return Either.left(result.getLeft());
@@ -140,7 +183,7 @@
     requireNonNull(published, "published is null");
     boolean isNewer = published.version() > state.configuration().version();
     if (isNewer) {
-      Digest digest = published.digest();
+      Digest digest = digester.apply(published);
       state = new State(published, digest, changesWithDiffTo(published, digest));
     }
     recordReadThrough(readThrough);
@@ -159,8 +202,9 @@
     ConfigurationChange difference = ConfigurationChange.between(inForce, published);
     return appendBounded(
         state.changes(),
-        new VersionedChange(
-            published.version(), 0, difference, digest, OptionalLong.of(inForce.version())));
+        List.of(
+            new VersionedChange(
+                published.version(), 0, difference, digest, OptionalLong.of(inForce.version()))));
   }
 
   /**
@@ -187,30 +231,32 @@
     }
     return accepted
         .applyTo(current.configuration())
-        .mapLeft(
-            violations ->
-                (ConfigurationUpdateError)
-                    new ConfigurationUpdateError.Invalid(accepted.version(), violations))
-        .flatMap(next -> install(next, accepted, current.changes()));
+        .mapLeft(violations -> invalid(accepted, violations))
+        .flatMap(next -> install(next, List.of(accepted), current.changes()))
+        .map(installed -> true);
+  }
+
+  private static ConfigurationUpdateError invalid(
+      VersionedChange change, List<Violation> violations) {
+    return new ConfigurationUpdateError.Invalid(change.version(), violations);
   }
 
-  private Either<ConfigurationUpdateError, Boolean> install(
-      Configuration next, VersionedChange accepted, List<VersionedChange> kept) {
-    Digest digest = next.digest();
-    if (!digest.equals(accepted.digest())) {
+  /** Puts a version in force if it has the digest of the last of the changes that led to it. */
+  private Either<ConfigurationUpdateError, Integer> install(
+      Configuration next, List<VersionedChange> applied, List<VersionedChange> kept) {
+    Digest digest = digester.apply(next);
+    if (!digest.equals(applied.get(applied.size() - 1).digest())) {
       return Either.left(new ConfigurationUpdateError.DigestMismatch(next.version()));
     }
-    state = new State(next, digest, appendBounded(kept, accepted));
-    return Either.right(true);
+    state = new State(next, digest, appendBounded(kept, applied));
+    return Either.right(applied.size());
   }
 
   private static List<VersionedChange> appendBounded(
-      List<VersionedChange> kept, VersionedChange newest) {
-    List<VersionedChange> changes =
-        new ArrayList<>(
-            kept.subList(Math.max(0, kept.size() + 1 - MAXIMUM_KEPT_CHANGES), kept.size()));
-    changes.add(newest);
-    return List.copyOf(changes);
+      List<VersionedChange> kept, List<VersionedChange> newest) {
+    List<VersionedChange> changes = Stream.concat(kept.stream(), newest.stream()).toList();
+    return List.copyOf(
+        changes.subList(Math.max(0, changes.size() - MAXIMUM_KEPT_CHANGES), changes.size()));
   }
 
   /**
--- a/parsleycart-model/src/main/java/org/parsleycart/model/ConfigurationChange.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/ConfigurationChange.java
@@ -117,6 +117,24 @@
                         reader.location(), reference + " more than once", "each resource once")));
   }
 
+  /**
+   * Returns the change that has the effect of this change and then of a later one. Where both
+   * affect a resource, the later one prevails.
+   */
+  public ConfigurationChange followedBy(ConfigurationChange later) {
+    requireNonNull(later, "later is null");
+    Set<ResourceReference> replaced = later.affectedResources();
+    Stream<Resource> keptUpserts =
+        upserts.stream().filter(each -> !replaced.contains(each.reference()));
+    Stream<ResourceReference> keptRemovals =
+        removals.stream().filter(each -> !replaced.contains(each));
+    return new ConfigurationChange(
+        later.identifier,
+        later.author,
+        Stream.concat(keptUpserts, later.upserts.stream()).toList(),
+        Stream.concat(keptRemovals, later.removals.stream()).toList());
+  }
+
   // -- queries
 
   /** Returns the references of all resources that this change inserts, replaces or removes. */
