Give the connections of a pull more time while none of them succeeds

Callers of machines with a congested link got 404 on routes that had been confirmed seconds before.

Cause: a pull of versions gave up its connection after 300 ms, whatever had happened to the pulls before. Where the daemon's own link delays every packet by more than that, each pull fails in the same way, at each peer in turn, and the daemon stays behind until the link recovers.

Change: the timeout of a pull's connection doubles with each failure, up to that of the pull, and follows the duration of the last success. Requests for member records keep 300 ms: they also go to peers that are gone.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
@@ -16,6 +16,7 @@
 import org.parsleycart.decision.message.ControlMessage.MembershipAnswer;
 import org.parsleycart.decision.message.ControlMessage.MembershipRequest;
 import org.parsleycart.decision.message.OutgoingMessage;
+import org.parsleycart.decision.spreading.AdaptiveTimeout;
 import org.parsleycart.decision.spreading.ConfigurationLog;
 import org.parsleycart.decision.spreading.ConfigurationUpdateError;
 import org.parsleycart.decision.spreading.PullPlanner;
@@ -38,6 +39,8 @@
   private final FrameClient frameClient;
   private final ConfigurationLog log;
   private final InstantSource clock;
+  private final AdaptiveTimeout pullConnectTimeout =
+      new AdaptiveTimeout(FrameClient.USUAL_CONNECT_TIMEOUT, PullPlanner.PULL_TIMEOUT);
   private final BoundedQueue<Runnable> pullTasks = new BoundedQueue<>(QUEUE_CAPACITY);
   private final BoundedQueue<Runnable> synchronizationTasks = new BoundedQueue<>(QUEUE_CAPACITY);
   private final WorkerLoop pullLoop;
@@ -101,8 +104,14 @@
   }
 
   private void pullNow(OutgoingMessage request) {
+    Instant startedAt = clock.instant();
     Either<LinkError, ControlMessage> answer =
-        frameClient.send(request.target(), request.message(), PullPlanner.PULL_TIMEOUT);
+        frameClient.send(
+            request.target(),
+            request.message(),
+            pullConnectTimeout.current(),
+            PullPlanner.PULL_TIMEOUT);
+    recordConnection(answer, Duration.between(startedAt, clock.instant()));
     if (answer.isRight() && answer.get() instanceof ConfigurationAnswer configurationAnswer) {
       Either<ConfigurationUpdateError, Integer> result =
           receive(request.target(), configurationAnswer);
@@ -126,6 +135,14 @@
     }
   }
 
+  private void recordConnection(Either<LinkError, ControlMessage> answer, Duration elapsed) {
+    if (answer.isRight()) {
+      pullConnectTimeout.recordSuccess(elapsed);
+    } else if (answer.getLeft() instanceof LinkError.Unreachable) {
+      pullConnectTimeout.recordFailure();
+    }
+  }
+
   private Either<ConfigurationUpdateError, Integer> receive(
       String peer, ConfigurationAnswer answer) {
     Instant arrivedAt = clock.instant();
--- a/parsleycart-link/src/main/java/org/parsleycart/link/FrameClient.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/FrameClient.java
@@ -18,10 +18,10 @@
   private final ControlTrafficCounters counters;
 
   /**
-   * The longest wait for a connection: a few round trips between regions. A failed machine does not
+   * The usual wait for a connection: a few round trips between regions. A failed machine does not
    * answer at all, and waiting for it delays requests that other machines could answer.
    */
-  private static final Duration MAXIMUM_CONNECT_TIMEOUT = Duration.ofMillis(300);
+  public static final Duration USUAL_CONNECT_TIMEOUT = Duration.ofMillis(300);
 
   // -- construction
 
@@ -42,6 +42,23 @@
    */
   public Either<LinkError, ControlMessage> send(
       String address, ControlMessage request, Duration timeout) {
+    return send(
+        address,
+        request,
+        timeout.compareTo(USUAL_CONNECT_TIMEOUT) < 0 ? timeout : USUAL_CONNECT_TIMEOUT,
+        timeout);
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param address the control address of the receiver
+   * @param connectTimeout the longest wait for the connection
+   * @param timeout the longest wait for data of the answer
+   * @return the answer, or the reason why there is none
+   */
+  public Either<LinkError, ControlMessage> send(
+      String address, ControlMessage request, Duration connectTimeout, Duration timeout) {
     requireNonNull(request, "request is null");
     Optional<InetSocketAddress> target = Addresses.parse(address);
     if (target.isEmpty()) {
@@ -49,20 +66,22 @@
     }
     try (Socket socket = new Socket()) {
       socket.setTcpNoDelay(true);
-      int timeoutMilliseconds = (int) Math.max(1, timeout.toMillis());
       try {
-        socket.connect(
-            target.get(), (int) Math.min(timeoutMilliseconds, MAXIMUM_CONNECT_TIMEOUT.toMillis()));
+        socket.connect(target.get(), milliseconds(connectTimeout));
       } catch (IOException e) {
         return Either.left(new LinkError.Unreachable(address, String.valueOf(e.getMessage())));
       }
-      socket.setSoTimeout(timeoutMilliseconds);
+      socket.setSoTimeout(milliseconds(timeout));
       return exchange(socket, request);
     } catch (IOException e) {
       return Either.left(new LinkError.NoAnswer(address, String.valueOf(e.getMessage())));
     }
   }
 
+  private static int milliseconds(Duration timeout) {
+    return (int) Math.max(1, timeout.toMillis());
+  }
+
   private Either<LinkError, ControlMessage> exchange(Socket socket, ControlMessage request)
       throws IOException {
     byte[] bytes = codec.encode(request);
