Limit the calls of the whole fleet to the rate that an upstream states in its answers

Nothing read the header.

Change: the daemon beside the upstream, which all calls of the fleet pass, meters them with a token bucket at the stated rate, as a policy of the decision module. What it learned needs no spreading, and a cut cannot hide it from anybody who still reaches the upstream. Calls beyond the rate are refused at once as rate-limited and go to another upstream; entries see the rate as a lower concurrency limit and choose the upstream less. An answer without the header ends the limit; one of zero still lets a call through every two seconds, because only an answer shows that it has ended. A daemon that restarts beside a running upstream runs two calls until one has ended, so that it cannot exceed a rate that its last process knew. A malformed header has a line and changes nothing.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -25,10 +25,12 @@
 import org.parsleycart.decision.admission.AdmissionDecision;
 import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.admission.UpstreamNotice;
 import org.parsleycart.link.dialect.CallHeaderNames;
 import org.parsleycart.link.dialect.Dialect;
 import org.parsleycart.model.Service;
 import org.parsleycart.model.document.Document;
+import org.tinylog.Logger;
 
 /** Admits calls to the upstreams beside this daemon and forwards the admitted calls. */
 public final class AdmissionService {
@@ -216,6 +218,15 @@
             new AttemptResult(
                 AttemptOutcome.NOT_RUN, false, Fault.REFUSED_BY_UPSTREAM, OptionalInt.of(status)));
       }
+      dialect
+          .notice(response.getResponseHeaders())
+          .peek(this::recordNotice)
+          .peekLeft(
+              problem ->
+                  Logger.warn(
+                      "answer of upstream {}: {}, the statement before it holds",
+                      upstream.announced().identifier(),
+                      problem));
       return call.listener().isDeliverable(status)
           ? Optional.empty()
           : Optional.of(
@@ -223,6 +234,17 @@
                   AttemptOutcome.UNKNOWN, false, Fault.FAILED_ANSWER, OptionalInt.of(status)));
     }
 
+    private void recordNotice(UpstreamNotice notice) {
+      if (upstream.admission().recordStatedRate(notice.callsPerSecond())) {
+        Logger.info(
+            "upstream {} takes {} calls per second",
+            upstream.announced().identifier(),
+            notice.callsPerSecond().isPresent()
+                ? notice.callsPerSecond().getAsDouble()
+                : "any number of");
+      }
+    }
+
     private boolean reportsNotRun(ClientResponse response) {
       HeaderMap headers = response.getResponseHeaders();
       boolean isMisdirected =
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -28,6 +28,9 @@
    */
   private static final Duration HEARTBEAT_TIMEOUT = Duration.ofSeconds(10);
 
+  /** The highest sequence of a first heartbeat; senders begin at 0 or 1. */
+  private static final long FIRST_SEQUENCE = 1;
+
   private final Map<String, LocalUpstream> upstreams = new ConcurrentHashMap<>();
   private final DepartedUpstreams departedUpstreams = new DepartedUpstreams();
   private final AdmissionSettings settings;
@@ -104,7 +107,7 @@
                 heartbeat.address(),
                 renewBy,
                 Optional.of(heartbeat),
-                new AdmissionControl<>(settings, heartbeat.upstream().slots(), clock));
+                newAdmission(heartbeat));
     after.admission().setRemainingColdTime(heartbeat.remainingColdTime());
     upstreams.put(identifier, after);
     if (!isSameProcess || !before.announced().equals(after.announced())) {
@@ -119,6 +122,13 @@
     return true;
   }
 
+  private AdmissionControl<LocalCall> newAdmission(UpstreamHeartbeat heartbeat) {
+    int slots = heartbeat.upstream().slots();
+    return heartbeat.sequence() > FIRST_SEQUENCE
+        ? AdmissionControl.besideRunningUpstream(settings, slots, clock)
+        : new AdmissionControl<>(settings, slots, clock);
+  }
+
   private boolean isOutdated(UpstreamHeartbeat heartbeat) {
     return upstreams.values().stream()
         .filter(upstream -> upstream.address().equals(heartbeat.address()))
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ParsleycartDialect.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ParsleycartDialect.java
@@ -1,11 +1,14 @@
 package org.parsleycart.daemon.call;
 
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import org.parsleycart.decision.admission.UpstreamNotice;
 import org.parsleycart.decision.membership.UpstreamHeartbeat;
 import org.parsleycart.link.dialect.CallHeaderNames;
+import org.parsleycart.link.dialect.DecimalHeader;
 import org.parsleycart.link.dialect.Dialect;
 import org.parsleycart.model.document.Problem;
 import org.parsleycart.model.document.SourceLocation;
@@ -23,6 +26,9 @@
           new HttpString(CallHeaders.PREFIX + "caller-service"),
           new HttpString(CallHeaders.PREFIX + "not-run"));
 
+  private static final HttpString CALLS_PER_SECOND =
+      new HttpString(CallHeaders.PREFIX + "calls-per-second");
+
   // -- Dialect
 
   @Override
@@ -30,6 +36,11 @@
     return HEADERS;
   }
 
+  @Override
+  public Either<String, UpstreamNotice> notice(HeaderMap answerHeaders) {
+    return DecimalHeader.read(answerHeaders, CALLS_PER_SECOND).map(UpstreamNotice::new);
+  }
+
   @Override
   public String readinessPath() {
     return "/readyz";
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/AdmissionRefusalTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/AdmissionRefusalTest.java
@@ -91,4 +91,18 @@
     assertThat(callAsEntry().header("x-parsleycart-reason")).contains("draining");
     assertThat(upstream.requests()).isZero();
   }
+
+  /** Guards against an upstream that gets more calls than it has stated to take. */
+  @Test
+  void shouldRefuseAsRateLimitedWhenUpstreamStatesALowerRate() {
+    upstream.respondWith(
+        "HTTP/1.1 200 OK\r\nX-Parsleycart-Calls-Per-Second: 0\r\nContent-Length: 0\r\n\r\n", false);
+    assertThat(callAsEntry().status()).isEqualTo(200);
+
+    HttpResponse refused = callAsEntry();
+
+    assertThat(refused.header("x-parsleycart-outcome")).contains("not-run");
+    assertThat(refused.header("x-parsleycart-reason")).contains("rate-limited");
+    assertThat(upstream.requests()).isEqualTo(1);
+  }
 }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/LocalUpstreamsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/LocalUpstreamsTest.java
@@ -45,6 +45,25 @@
       assertThat(identifiers()).containsExactly("a");
     }
 
+    @Test
+    void shouldRunFewCallsAtFirstWhenUpstreamRanBeforeTheDaemon() {
+      receive("started", 1, 1);
+      upstreams.receiveHeartbeat(
+          new UpstreamHeartbeat(
+              new AnnouncedUpstream("ran", "one", "v1", 4, false),
+              "127.0.0.1:8",
+              1,
+              7,
+              Duration.ZERO));
+
+      assertThat(concurrencyLimit("started")).isEqualTo(4);
+      assertThat(concurrencyLimit("ran")).isEqualTo(2);
+    }
+
+    private int concurrencyLimit(String identifier) {
+      return upstreams.find(identifier).orElseThrow().admission().load().limit();
+    }
+
     @Test
     void shouldBeIgnoredWhenReceivedAfterALaterOne() {
       upstreams.receiveHeartbeat(heartbeat("a", "one", 1, 5, true));
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -43,6 +43,9 @@
    */
   private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
 
+  /** The calls that run at once until an answer can have stated a rate. */
+  private static final int MAXIMUM_RUNNING_BEFORE_STATED_RATE = 2;
+
   private final AdmissionSettings settings;
   private final InstantSource clock;
   private final ConcurrencyLimit limit;
@@ -50,10 +53,13 @@
       new PriorityQueue<>(AdmissionRequest.queueOrder());
   private Optional<RefusalReason> closedReason = Optional.empty();
   private final ColdStartRateLimiter coldStartLimiter;
+  private final StatedRateLimiter statedRateLimiter;
+  private final MeanLatency meanLatency = new MeanLatency();
   private final Map<String, Instant> lastStartByRoute = new HashMap<>();
   private int running;
   private Instant coldSince;
   private Instant queueLastEmptyAt;
+  private boolean isStatedRateKnown;
 
   // -- construction
 
@@ -63,12 +69,31 @@
    * @param slots the calls that the upstream announces it can run at once, at least 1
    */
   public AdmissionControl(AdmissionSettings settings, int slots, InstantSource clock) {
+    this(settings, slots, clock, true);
+  }
+
+  private AdmissionControl(
+      AdmissionSettings settings, int slots, InstantSource clock, boolean isStatedRateKnown) {
     this.settings = requireNonNull(settings, "settings is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.limit = settings.newLimit(slots);
     this.coldSince = clock.instant();
     this.queueLastEmptyAt = coldSince;
     this.coldStartLimiter = new ColdStartRateLimiter(OptionalDouble.empty(), coldSince);
+    this.statedRateLimiter = new StatedRateLimiter(coldSince);
+    this.isStatedRateKnown = isStatedRateKnown;
+  }
+
+  /**
+   * Creates the admission control of an upstream that ran before this daemon started. The upstream
+   * may have stated a rate to the daemon's previous process, so that few calls run until one has
+   * ended.
+   *
+   * @param slots the calls that the upstream announces it can run at once, at least 1
+   */
+  public static <C> AdmissionControl<C> besideRunningUpstream(
+      AdmissionSettings settings, int slots, InstantSource clock) {
+    return new AdmissionControl<>(settings, slots, clock, false);
   }
 
   // -- events
@@ -88,6 +113,9 @@
     if (!coldStartLimiter.isStartAllowed(now)) {
       return AdmissionDecision.ofRefusal(request, RefusalReason.COLD);
     }
+    if (!statedRateLimiter.isStartAllowed(now)) {
+      return AdmissionDecision.ofRefusal(request, RefusalReason.RATE_LIMITED);
+    }
     queueLastEmptyAt = queue.isEmpty() ? now : queueLastEmptyAt;
     Optional<RefusalReason> lateReason =
         lateReason(request, now.plus(expectedWait(request)), queue.size());
@@ -114,6 +142,7 @@
   public synchronized AdmissionDecision<C> recordAnswer(String route, Duration latency) {
     long returnsToColdBefore = limit.returnsToCold();
     limit.recordAnswer(route, latency, running);
+    meanLatency.record(latency);
     recordReturnToCold(returnsToColdBefore);
     return freeSlotAndAdmit();
   }
@@ -161,6 +190,19 @@
     }
   }
 
+  /**
+   * Records the rate that an answer states, before its call is recorded as ended.
+   *
+   * @param callsPerSecond the calls per second that the upstream takes from all daemons together,
+   *     or empty if it states none
+   * @return whether the rate differs from the one before
+   */
+  public synchronized boolean recordStatedRate(OptionalDouble callsPerSecond) {
+    OptionalDouble before = statedRateLimiter.callsPerSecond();
+    statedRateLimiter.recordStatedRate(callsPerSecond, clock.instant());
+    return !statedRateLimiter.callsPerSecond().equals(before);
+  }
+
   private void recordReturnToCold(long returnsToColdBefore) {
     if (limit.returnsToCold() > returnsToColdBefore) {
       coldSince = clock.instant();
@@ -238,6 +280,7 @@
 
   private AdmissionDecision<C> freeSlotAndAdmit() {
     running--;
+    isStatedRateKnown = true;
     List<AdmissionDecision.Refusal<C>> refusals = new ArrayList<>();
     return new AdmissionDecision<>(admitQueued(refusals), refusals);
   }
@@ -245,14 +288,18 @@
   private List<AdmissionRequest<C>> admitQueued(List<AdmissionDecision.Refusal<C>> refusals) {
     List<AdmissionRequest<C>> admitted = new ArrayList<>();
     Instant now = clock.instant();
-    while (running < limit.current() && !queue.isEmpty() && coldStartLimiter.isStartAllowed(now)) {
-      Optional<RefusalReason> lateReason = lateReason(queue.peek(), now, queue.size() - 1);
+    while (running < maximumRunning() && !queue.isEmpty() && coldStartLimiter.isStartAllowed(now)) {
+      Optional<RefusalReason> refusalReason =
+          statedRateLimiter.isStartAllowed(now)
+              ? lateReason(queue.peek(), now, queue.size() - 1)
+              : Optional.of(RefusalReason.RATE_LIMITED);
       AdmissionRequest<C> next = queue.poll();
-      if (lateReason.isPresent()) {
-        refusals.add(new AdmissionDecision.Refusal<>(next, lateReason.get()));
+      if (refusalReason.isPresent()) {
+        refusals.add(new AdmissionDecision.Refusal<>(next, refusalReason.get()));
       } else {
         running++;
         coldStartLimiter.recordStart(now);
+        statedRateLimiter.recordStart(now);
         lastStartByRoute.put(next.route(), now);
         admitted.add(next);
       }
@@ -260,12 +307,18 @@
     return admitted;
   }
 
+  private int maximumRunning() {
+    return isStatedRateKnown
+        ? limit.current()
+        : Math.min(limit.current(), MAXIMUM_RUNNING_BEFORE_STATED_RATE);
+  }
+
   /**
    * Returns how long the queued requests ahead of this one keep all slots busy, at the usual
    * latency of the route of this one.
    */
   private Duration expectedWait(AdmissionRequest<C> request) {
-    if (running < limit.current()) {
+    if (running < maximumRunning()) {
       return Duration.ZERO;
     }
     Comparator<AdmissionRequest<C>> order = AdmissionRequest.queueOrder();
@@ -311,7 +364,21 @@
   public synchronized LoadReport load() {
     WarmUpState warmUpState =
         coldStartLimiter.isCold(clock.instant()) ? WarmUpState.COLD : limit.warmUpState();
-    return new LoadReport(running + queue.size(), limit.current(), warmUpState);
+    return new LoadReport(running + queue.size(), sustainedCalls(), warmUpState);
+  }
+
+  /** Returns the calls per second that the upstream states to take, or empty for no limit. */
+  public synchronized OptionalDouble statedRate() {
+    return statedRateLimiter.callsPerSecond();
+  }
+
+  /** Returns the calls that run at once while calls start at the stated rate, within the limit. */
+  private int sustainedCalls() {
+    return statedRateLimiter.callsPerSecond().stream()
+        .mapToInt(rate -> (int) Math.ceil(rate * meanLatency.seconds()))
+        .map(calls -> Math.max(1, Math.min(calls, maximumRunning())))
+        .findFirst()
+        .orElse(maximumRunning());
   }
 
   /** Returns when the upstream started or last became cold. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -19,6 +19,8 @@
   OVERLOADED("overloaded", 503),
   QUEUE_FULL("queue-full", 503),
   COLD("cold", 503, true),
+  /** More calls arrive than the upstream has stated to take in a second. */
+  RATE_LIMITED("rate-limited", 503),
   REFUSED_BY_UPSTREAM("refused-by-upstream", 503),
   DEADLINE("deadline", 503),
   /** The upstream is overloaded and its answer would miss the latency objective. */
--- /dev/null
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/UpstreamNotice.java
@@ -0,0 +1,27 @@
+package org.parsleycart.decision.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.OptionalDouble;
+
+/**
+ * What an upstream states about itself in one of its answers. It holds until another answer states
+ * otherwise.
+ *
+ * @param callsPerSecond the calls per second that it takes from all daemons together, or empty for
+ *     no limit
+ */
+public record UpstreamNotice(OptionalDouble callsPerSecond) {
+  private static final UpstreamNotice NONE = new UpstreamNotice(OptionalDouble.empty());
+
+  // -- construction
+
+  public UpstreamNotice {
+    requireNonNull(callsPerSecond, "callsPerSecond is null");
+  }
+
+  /** Returns the notice of an answer that states nothing. */
+  public static UpstreamNotice none() {
+    return NONE;
+  }
+}
--- a/parsleycart-link/src/main/java/org/parsleycart/link/dialect/Dialect.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/dialect/Dialect.java
@@ -1,8 +1,10 @@
 package org.parsleycart.link.dialect;
 
+import io.undertow.util.HeaderMap;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import org.parsleycart.decision.admission.UpstreamNotice;
 import org.parsleycart.decision.membership.UpstreamHeartbeat;
 import org.parsleycart.model.document.Problem;
 
@@ -12,6 +14,13 @@
   /** Returns the names of the headers. */
   CallHeaderNames headers();
 
+  /**
+   * Reads what an upstream states about itself in the headers of an answer.
+   *
+   * @return the notice, or what is wrong with a malformed header
+   */
+  Either<String, UpstreamNotice> notice(HeaderMap answerHeaders);
+
   /** Returns the path of the readiness check of the daemon. */
   String readinessPath();
 
