Send nothing to an upstream that says in its answers that it leaves

Change: the daemon beside the upstream takes such an answer as it takes a draining heartbeat: it refuses calls as draining and tells the fleet by gossip. An entry that has passed such an answer on chooses the upstream no more for 20 s, whatever is announced. Answers to requests that did not run count too, except those of another process at the address; there an omitted rate does not end a limit.

--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/ZoneTrial.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/ZoneTrial.java
@@ -173,7 +173,8 @@
     disrupted.withdrawn = false;
     disrupted.admission.reopen();
     routers.forEach(router -> router.withdrawnZones.clear());
-    routers.forEach(router -> router.loadTable.retainOnly(upstreamsExcept(disrupted)));
+    routers.forEach(
+        router -> router.loadTable.retainOnly(upstreamsExcept(disrupted), clock.instant()));
   }
 
   private Stream<Candidate> upstreamsExcept(TrialUpstream disrupted) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -4,7 +4,6 @@
 
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
 import java.time.Duration;
@@ -213,29 +212,48 @@
     @Override
     public Optional<AttemptResult> intercept(ClientResponse response) {
       int status = response.getResponseCode();
-      if (reportsNotRun(response)) {
-        return Optional.of(
-            new AttemptResult(
-                AttemptOutcome.NOT_RUN, false, Fault.REFUSED_BY_UPSTREAM, OptionalInt.of(status)));
+      if (isMisdirected(response)) {
+        return Optional.of(refusedByUpstream(status));
       }
+      boolean hasRun = !response.getResponseHeaders().contains(dialect.headers().notRun());
+      readNotice(response, hasRun);
+      if (!hasRun) {
+        return Optional.of(refusedByUpstream(status));
+      }
+      return call.listener().isDeliverable(status)
+          ? Optional.empty()
+          : Optional.of(
+              new AttemptResult(
+                  AttemptOutcome.UNKNOWN, false, Fault.FAILED_ANSWER, OptionalInt.of(status)));
+    }
+
+    private AttemptResult refusedByUpstream(int status) {
+      return new AttemptResult(
+          AttemptOutcome.NOT_RUN, false, Fault.REFUSED_BY_UPSTREAM, OptionalInt.of(status));
+    }
+
+    /** Returns whether another process answered, which has the address of the upstream now. */
+    private boolean isMisdirected(ClientResponse response) {
+      return dialect.isRequestIdentifiedByCaller()
+          && response.getResponseCode() == MISDIRECTED_REQUEST;
+    }
+
+    private void readNotice(ClientResponse response, boolean hasRun) {
       dialect
           .notice(response.getResponseHeaders())
-          .peek(this::recordNotice)
+          .peek(notice -> recordNotice(notice, hasRun))
           .peekLeft(
               problem ->
                   Logger.warn(
                       "answer of upstream {}: {}, the statement before it holds",
                       upstream.announced().identifier(),
                       problem));
-      return call.listener().isDeliverable(status)
-          ? Optional.empty()
-          : Optional.of(
-              new AttemptResult(
-                  AttemptOutcome.UNKNOWN, false, Fault.FAILED_ANSWER, OptionalInt.of(status)));
     }
 
-    private void recordNotice(UpstreamNotice notice) {
-      if (upstream.admission().recordStatedRate(notice.callsPerSecond())) {
+    /** Records a notice; only the answer to a call that ran ends a stated rate by omitting it. */
+    private void recordNotice(UpstreamNotice notice, boolean hasRun) {
+      boolean statesRate = hasRun || notice.callsPerSecond().isPresent();
+      if (statesRate && upstream.admission().recordStatedRate(notice.callsPerSecond())) {
         Logger.info(
             "upstream {} takes {} calls per second",
             upstream.announced().identifier(),
@@ -243,14 +261,9 @@
                 ? notice.callsPerSecond().getAsDouble()
                 : "any number of");
       }
-    }
-
-    private boolean reportsNotRun(ClientResponse response) {
-      HeaderMap headers = response.getResponseHeaders();
-      boolean isMisdirected =
-          dialect.isRequestIdentifiedByCaller()
-              && response.getResponseCode() == MISDIRECTED_REQUEST;
-      return headers.contains(dialect.headers().notRun()) || isMisdirected;
+      if (notice.isLeaving()) {
+        upstreams.recordLeaving(upstream.announced().identifier());
+      }
     }
 
     @Override
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -19,6 +19,7 @@
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.admission.RetryAfterDelay;
+import org.parsleycart.decision.admission.UpstreamNotice;
 import org.parsleycart.decision.routing.Candidate;
 import org.parsleycart.decision.routing.UpstreamLoad;
 import org.xnio.IoUtils;
@@ -349,6 +350,11 @@
       Optional.ofNullable(report)
           .flatMap(LoadReport::parse)
           .ifPresent(parsed -> load.recordReport(parsed, dependencies.clock().instant()));
+      dependencies
+          .dialect()
+          .notice(response.getResponseHeaders())
+          .filter(UpstreamNotice::isLeaving)
+          .forEach(leaving -> load.recordLeaving(dependencies.clock().instant()));
       AttemptOutcome outcome =
           Optional.ofNullable(response.getResponseHeaders().getFirst(CallHeaders.OUTCOME))
               .flatMap(AttemptOutcome::ofLabel)
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -172,6 +172,14 @@
     return drained != null;
   }
 
+  /** Marks an upstream as draining because it stated in an answer that it leaves. */
+  void recordLeaving(String identifier) {
+    boolean isNews = find(identifier).filter(found -> !found.announced().draining()).isPresent();
+    if (isNews && drain(identifier)) {
+      Logger.info("upstream {} states in its answers that it leaves: draining", identifier);
+    }
+  }
+
   /**
    * Removes an upstream and refuses its queued calls.
    *
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ParsleycartDialect.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ParsleycartDialect.java
@@ -29,6 +29,8 @@
   private static final HttpString CALLS_PER_SECOND =
       new HttpString(CallHeaders.PREFIX + "calls-per-second");
 
+  private static final HttpString LEAVING = new HttpString(CallHeaders.PREFIX + "leaving");
+
   // -- Dialect
 
   @Override
@@ -38,7 +40,9 @@
 
   @Override
   public Either<String, UpstreamNotice> notice(HeaderMap answerHeaders) {
-    return DecimalHeader.read(answerHeaders, CALLS_PER_SECOND).map(UpstreamNotice::new);
+    boolean isLeaving = "true".equals(answerHeaders.getFirst(LEAVING));
+    return DecimalHeader.read(answerHeaders, CALLS_PER_SECOND)
+        .map(callsPerSecond -> new UpstreamNotice(callsPerSecond, isLeaving));
   }
 
   @Override
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipWorker.java
@@ -155,7 +155,7 @@
             state.zone(),
             zone -> state.facts().isWithdrawn(state.configuration(), zone));
     state.setDirectory(directory);
-    loads.retainOnly(directory.all());
+    loads.retainOnly(directory.all(), now);
   }
 
   private MembershipView newView() {
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/AdmissionRefusalTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/AdmissionRefusalTest.java
@@ -105,4 +105,15 @@
     assertThat(refused.header("x-parsleycart-reason")).contains("rate-limited");
     assertThat(upstream.requests()).isEqualTo(1);
   }
+
+  /** Guards against calls to an upstream that has stated in an answer that it leaves. */
+  @Test
+  void shouldRefuseAsDrainingWhenUpstreamStatesThatItLeaves() {
+    upstream.respondWith(
+        "HTTP/1.1 200 OK\r\nX-Parsleycart-Leaving: true\r\nContent-Length: 0\r\n\r\n", false);
+    assertThat(callAsEntry().status()).isEqualTo(200);
+
+    assertThat(callAsEntry().header("x-parsleycart-reason")).contains("draining");
+    assertThat(upstream.requests()).isEqualTo(1);
+  }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/UpstreamNotice.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/UpstreamNotice.java
@@ -10,9 +10,10 @@
  *
  * @param callsPerSecond the calls per second that it takes from all daemons together, or empty for
  *     no limit
+ * @param isLeaving whether it is about to end and takes no new calls
  */
-public record UpstreamNotice(OptionalDouble callsPerSecond) {
-  private static final UpstreamNotice NONE = new UpstreamNotice(OptionalDouble.empty());
+public record UpstreamNotice(OptionalDouble callsPerSecond, boolean isLeaving) {
+  private static final UpstreamNotice NONE = new UpstreamNotice(OptionalDouble.empty(), false);
 
   // -- construction
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
@@ -20,6 +20,12 @@
   private static final Duration EJECTION_TIME_AFTER_REFUSAL = Duration.ofSeconds(1);
   private static final int MAXIMUM_EJECTION_TIME_DOUBLINGS = 6;
 
+  /**
+   * How long an upstream that stated that it leaves gets no calls, whatever is announced: longer
+   * than an upstream keeps running after that.
+   */
+  private static final Duration LEAVING_TIME = Duration.ofSeconds(20);
+
   /**
    * Failed answers in a row that eject an upstream. The number is higher than for other failures
    * because a faulty request can cause them.
@@ -37,6 +43,7 @@
   private volatile int outstandingFromOthers;
   private volatile Optional<Instant> reportedAt = Optional.empty();
   private volatile Instant ejectedUntil = Instant.MIN;
+  private volatile Instant leavingUntil = Instant.MIN;
 
   // -- construction
 
@@ -91,6 +98,11 @@
     }
   }
 
+  /** Records that the upstream stated in an answer that it leaves. */
+  public void recordLeaving(Instant now) {
+    leavingUntil = now.plus(LEAVING_TIME);
+  }
+
   private void ejectAfter(int threshold, Instant now) {
     int failures = consecutiveFailures.incrementAndGet();
     if (failures >= threshold) {
@@ -131,4 +143,9 @@
   public boolean isEjected(Instant now) {
     return now.isBefore(ejectedUntil);
   }
+
+  /** Returns whether the upstream stated lately that it leaves, so that it must get no calls. */
+  public boolean isLeaving(Instant now) {
+    return now.isBefore(leavingUntil);
+  }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
@@ -2,6 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Instant;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -25,11 +27,13 @@
 
   /**
    * Removes the loads of all upstreams except the given ones. An upstream that reappears gets a new
-   * load because it may have restarted.
+   * load because it may have restarted. The loads of leaving upstreams are kept: one of them may be
+   * announced again by a daemon that has restarted.
    */
-  public void retainOnly(Stream<Candidate> candidates) {
+  public void retainOnly(Stream<Candidate> candidates, Instant now) {
+    Set<String> retained = candidates.map(Candidate::identifier).collect(Collectors.toSet());
     loadsByUpstream
-        .keySet()
-        .retainAll(candidates.map(Candidate::identifier).collect(Collectors.toSet()));
+        .entrySet()
+        .removeIf(entry -> !retained.contains(entry.getKey()) && !entry.getValue().isLeaving(now));
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
@@ -38,7 +38,7 @@
    * @param pool the candidates
    * @param tried identifiers of the upstreams that this call has already tried
    * @param random the source of the random draws
-   * @return the selected upstream, or empty if there is none that has not been tried
+   * @return the selected upstream, or empty if each has been tried or leaves
    */
   public Optional<Candidate> choose(
       CandidatePool pool, Set<String> tried, Instant now, RandomGenerator random) {
@@ -54,13 +54,7 @@
           utilization(other.get()) + OTHER_ZONE_UTILIZATION_PENALTY < utilization(local.get());
       return isOtherZoneBetter ? other : local;
     }
-    return local
-        .or(() -> other)
-        .or(
-            () ->
-                pool.all()
-                    .filter(candidate -> !tried.contains(candidate.identifier()))
-                    .findFirst());
+    return local.or(() -> other).or(() -> pool.all().filter(isUntried(tried, now)).findFirst());
   }
 
   /**
@@ -68,7 +62,7 @@
    * they are more than half of a sample of the pool.
    */
   private Predicate<Candidate> isUsable(CandidatePool pool, Set<String> tried, Instant now) {
-    Predicate<Candidate> isUntried = candidate -> !tried.contains(candidate.identifier());
+    Predicate<Candidate> isUntried = isUntried(tried, now);
     long sampled = Math.min(EJECTION_SAMPLE_SIZE, pool.size());
     long ejected =
         pool.all()
@@ -80,6 +74,11 @@
         : isUntried.and(candidate -> !isEjected(candidate, now));
   }
 
+  private Predicate<Candidate> isUntried(Set<String> tried, Instant now) {
+    return candidate ->
+        !tried.contains(candidate.identifier()) && !loads.of(candidate).isLeaving(now);
+  }
+
   private boolean isEjected(Candidate candidate, Instant now) {
     return loads.of(candidate).isEjected(now);
   }
