--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -102,6 +102,7 @@
         state,
         control.counters(),
         control.gossip(),
+        control.peerSync(),
         upstreams,
         callsInProgress);
     return new DaemonComponents(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMetrics.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMetrics.java
@@ -7,6 +7,7 @@
 import org.parsleycart.daemon.call.CallsInProgress;
 import org.parsleycart.daemon.call.LocalUpstreams;
 import org.parsleycart.daemon.control.GossipWorker;
+import org.parsleycart.daemon.control.PeerSyncWorker;
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.link.ControlTrafficCounters;
 
@@ -20,6 +21,7 @@
       MeshState state,
       ControlTrafficCounters counters,
       GossipWorker gossip,
+      PeerSyncWorker peerSync,
       LocalUpstreams upstreams,
       CallsInProgress callsInProgress) {
     gauge(registry, "configuration.version", state, source -> source.configuration().version());
@@ -27,6 +29,7 @@
     gauge(registry, "isolated", state, source -> source.isIsolated() ? 1 : 0);
     gauge(registry, "members", gossip, source -> source.view().size());
     gauge(registry, "upstreams.beside", upstreams, source -> source.announced().size());
+    gauge(registry, "upstreams.rate.limited", upstreams, LocalUpstreams::rateLimitedCount);
     gauge(registry, "calls.in.progress", callsInProgress, CallsInProgress::count);
     counter(registry, "control.sent.bytes", counters, ControlTrafficCounters::sentBytes);
     counter(registry, "control.sent.messages", counters, ControlTrafficCounters::sentMessages);
@@ -35,6 +38,7 @@
         registry, "control.received.messages", counters, ControlTrafficCounters::receivedMessages);
     counter(
         registry, "control.rejected.messages", counters, ControlTrafficCounters::rejectedMessages);
+    counter(registry, "configuration.pulls.failed", peerSync, PeerSyncWorker::failedPulls);
     counter(registry, "gossip.dropped.commands", gossip, GossipWorker::droppedCommands);
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -261,6 +261,13 @@
     return upstreams.values().stream().mapToInt(each -> each.admission().running()).sum();
   }
 
+  /** Returns the number of upstreams that state how many calls per second they take. */
+  public long rateLimitedCount() {
+    return upstreams.values().stream()
+        .filter(upstream -> upstream.admission().statedRate().isPresent())
+        .count();
+  }
+
   /** Returns the states of all upstreams as shown to operators. */
   public List<View> view() {
     return upstreams.values().stream()
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
@@ -8,6 +8,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import org.parsleycart.decision.membership.BucketDigests;
@@ -41,6 +42,7 @@
   private final InstantSource clock;
   private final AdaptiveTimeout pullConnectTimeout =
       new AdaptiveTimeout(FrameClient.USUAL_CONNECT_TIMEOUT, PullPlanner.PULL_TIMEOUT);
+  private final LongAdder failedPulls = new LongAdder();
   private final BoundedQueue<Runnable> pullTasks = new BoundedQueue<>(QUEUE_CAPACITY);
   private final BoundedQueue<Runnable> synchronizationTasks = new BoundedQueue<>(QUEUE_CAPACITY);
   private final WorkerLoop pullLoop;
@@ -122,6 +124,7 @@
             return hasNewVersions ? protocol.announce() : List.of();
           });
     } else {
+      failedPulls.increment();
       Logger.info(
           "pull of versions from {} failed, version {} stays: {}",
           request.target(),
@@ -148,21 +151,9 @@
     Instant arrivedAt = clock.instant();
     long previousVersion = log.current().version();
     Either<ConfigurationUpdateError, Integer> result = log.receive(answer);
-    long milliseconds = Duration.between(arrivedAt, clock.instant()).toMillis();
+    Duration elapsed = Duration.between(arrivedAt, clock.instant());
     result
-        .peek(
-            applied ->
-                Logger.info(
-                    "version {} in force after version {}: {} from {}, {} applied, {} ms after they"
-                        + " arrived",
-                    log.current().version(),
-                    previousVersion,
-                    answer.snapshot().isPresent()
-                        ? "snapshot"
-                        : answer.changes().size() + " changes",
-                    peer,
-                    applied,
-                    milliseconds))
+        .peek(applied -> logVersions(peer, answer, previousVersion, applied, elapsed))
         .peekLeft(
             error ->
                 Logger.info(
@@ -173,6 +164,25 @@
     return result;
   }
 
+  private void logVersions(
+      String peer,
+      ConfigurationAnswer answer,
+      long previousVersion,
+      int applied,
+      Duration elapsed) {
+    if (applied > 0) {
+      Logger.info(
+          "version {} in force after version {}: {} versions as {} from {}, {} ms after they"
+              + " arrived",
+          log.current().version(),
+          previousVersion,
+          applied,
+          answer.snapshot().isPresent() ? "a snapshot" : "changes",
+          peer,
+          elapsed.toMillis());
+    }
+  }
+
   private void synchronizeNow(String peer, MembershipRequest request) {
     Either<LinkError, ControlMessage> answer =
         frameClient.send(peer, request, PullPlanner.PULL_TIMEOUT);
@@ -187,4 +197,11 @@
           });
     }
   }
+
+  // -- queries
+
+  /** Returns how many pulls of versions got no answer. */
+  public long failedPulls() {
+    return failedPulls.sum();
+  }
 }
