Send a call on to an upstream that is free when the rate of another is used up

An upstream whose rate is used up looks idle, since refused calls do not run, and a call was sent on at most twice, within a budget meant for overload.

How long an entry avoids an upstream is now a property of the reason of the refusal.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -1,5 +1,6 @@
 package org.parsleycart.decision.admission;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.stream.Stream;
 
@@ -20,7 +21,7 @@
   QUEUE_FULL("queue-full", 503),
   COLD("cold", 503, true),
   /** More calls arrive than the upstream has stated to take in a second. */
-  RATE_LIMITED("rate-limited", 503),
+  RATE_LIMITED("rate-limited", 503, true, Duration.ofMillis(100)),
   REFUSED_BY_UPSTREAM("refused-by-upstream", 503),
   DEADLINE("deadline", 503),
   /** The upstream is overloaded and its answer would miss the latency objective. */
@@ -36,15 +37,26 @@
   private final String label;
   private final int statusCode;
   private final boolean requiresOtherUpstream;
+  private final Duration avoidanceTime;
 
   RefusalReason(String label, int statusCode) {
     this(label, statusCode, false);
   }
 
   RefusalReason(String label, int statusCode, boolean requiresOtherUpstream) {
+    this(
+        label,
+        statusCode,
+        requiresOtherUpstream,
+        requiresOtherUpstream ? Duration.ofSeconds(1) : Duration.ZERO);
+  }
+
+  RefusalReason(
+      String label, int statusCode, boolean requiresOtherUpstream, Duration avoidanceTime) {
     this.label = label;
     this.statusCode = statusCode;
     this.requiresOtherUpstream = requiresOtherUpstream;
+    this.avoidanceTime = avoidanceTime;
   }
 
   /** Returns the HTTP status code of the answer to the caller. */
@@ -60,6 +72,11 @@
     return requiresOtherUpstream;
   }
 
+  /** Returns how long an entry prefers other upstreams to the one that refused. */
+  public Duration avoidanceTime() {
+    return avoidanceTime;
+  }
+
   /** Returns whether the same request may succeed a little later. */
   public boolean isTemporary() {
     return statusCode == SERVICE_UNAVAILABLE;
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
@@ -17,7 +17,6 @@
 public final class UpstreamLoad {
   private static final int FAILURES_BEFORE_EJECTION = 2;
   private static final Duration MINIMUM_EJECTION_TIME = Duration.ofMillis(500);
-  private static final Duration EJECTION_TIME_AFTER_REFUSAL = Duration.ofSeconds(1);
   private static final int MAXIMUM_EJECTION_TIME_DOUBLINGS = 6;
 
   /**
@@ -94,7 +93,7 @@
   public void recordRefusal(RefusalReason reason, Instant now) {
     requireNonNull(reason, "reason is null");
     if (reason.requiresOtherUpstream()) {
-      ejectedUntil = now.plus(EJECTION_TIME_AFTER_REFUSAL);
+      ejectedUntil = now.plus(reason.avoidanceTime());
     }
   }
 
