--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/LeavingUpstreamTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/LeavingUpstreamTest.java
@@ -24,7 +24,7 @@
   private final UpstreamLoadTable loads = new UpstreamLoadTable();
   private final UpstreamSelection selection = new UpstreamSelection(loads);
 
-  private static Candidate candidate(String identifier) {
+  static Candidate candidate(String identifier) {
     return new Candidate(
         new AnnouncedUpstream(identifier, "ledger", "v1", 10, false),
         "10.0.0.1:7400",
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RateLimitedUpstreamsTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RateLimitedUpstreamsTest.java
@@ -1,6 +1,7 @@
 package org.parsleycart.decision.routing;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.parsleycart.decision.routing.LeavingUpstreamTest.candidate;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -12,7 +13,6 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.parsleycart.decision.admission.RefusalReason;
-import org.parsleycart.decision.membership.AnnouncedUpstream;
 
 /**
  * Most upstreams of a service state a rate that is used up, and others are free. The entry cannot
@@ -33,14 +33,6 @@
           List.of(candidate("limited-2"), candidate("limited-3"), candidate(FREE)));
   private Instant now = Instant.EPOCH;
 
-  private static Candidate candidate(String identifier) {
-    return new Candidate(
-        new AnnouncedUpstream(identifier, "ledger", "v1", 10, false),
-        "10.0.0.1:7400",
-        "abdali",
-        "10.0.0.1:7402");
-  }
-
   /** Makes attempts until the free upstream is reached; returns whether it was. */
   private boolean call() {
     now = now.plusMillis(30);
