Show that an answer that broke off reaches a client as a whole success

A server's answer without a length is reset on the way. A client that asked for Connection: close, or whose daemon is being stopped, gets 200, half of the body and an orderly end of the connection.

--- a/review/standins/Server.java
+++ b/review/standins/Server.java
@@ -14,14 +14,21 @@
   final Stage stage;
   final String id;
   final String service;
+  final String version;
   final int slots;
   private final Stage.Daemon daemon;
   private final ServerSocket listener;
   private final Behaviour behaviour;
   private final long born = System.currentTimeMillis();
   private volatile boolean isBeating = true;
+  private volatile String state = "ready";
   private int sequence;
 
+  /** Makes the server reset the connection. */
+  static final class ResetException extends IOException {
+    private static final long serialVersionUID = 1;
+  }
+
   /** Answers one request on a connection. */
   interface Behaviour {
     /** Reads the rest of the request, answers it, and returns whether the connection is kept. */
@@ -31,6 +38,18 @@
 
   Server(Stage stage, Stage.Daemon daemon, String id, int slots, Behaviour behaviour)
       throws IOException {
+    this(stage, daemon, id, "v1", slots, behaviour);
+  }
+
+  Server(
+      Stage stage,
+      Stage.Daemon daemon,
+      String id,
+      String version,
+      int slots,
+      Behaviour behaviour)
+      throws IOException {
+    this.version = version;
     this.stage = stage;
     this.daemon = daemon;
     this.id = id;
@@ -88,9 +107,13 @@
       InputStream input = new BufferedInputStream(socket.getInputStream());
       OutputStream output = socket.getOutputStream();
       boolean isKept = true;
-      while (isKept) {
-        Http.Message head = Http.readHead(input);
-        isKept = behaviour.answer(this, head, input, output);
+      try {
+        while (isKept) {
+          Http.Message head = Http.readHead(input);
+          isKept = behaviour.answer(this, head, input, output);
+        }
+      } catch (ResetException e) {
+        socket.setSoLinger(true, 0);
       }
     } catch (IOException e) {
       // The daemon has closed the connection.
@@ -111,10 +134,10 @@
     sequence++;
     String body =
         """
-        {"address":"%s","born":%d,"info":{"service":"%s","version":"v1","zone":"%s","slots":%d},
-         "status":{"state":"ready","seq":%d,"coldLeftMs":0}}
+        {"address":"%s","born":%d,"info":{"service":"%s","version":"%s","zone":"%s","slots":%d},
+         "status":{"state":"%s","seq":%d,"coldLeftMs":0}}
         """
-            .formatted(address(), born, service, daemon.zone, slots, sequence);
+            .formatted(address(), born, service, version, daemon.zone, slots, state, sequence);
     return Http.request(
         "POST",
         "/parsleycart/Instances.Heartbeat/" + id,
@@ -133,6 +156,12 @@
     }
   }
 
+  /** Reports from now on, and at once, that this server is draining. */
+  void drain() {
+    state = "draining";
+    deliver(nextHeartbeat());
+  }
+
   /** Deregisters this server, which goes on serving. */
   void deregister() throws IOException {
     String body = "{\"address\":\"%s\",\"born\":%d}".formatted(address(), born);
--- a/review/standins/Stage.java
+++ b/review/standins/Stage.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.InetAddress;
+import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.parsleycart.platform.standin.StoreStandin;
@@ -23,6 +24,9 @@
   static final int EXIT_BROKEN = 1;
   static final int EXIT_NOT_RUN = 2;
 
+  private static final int LOWEST_PORT = 12_000;
+  private static final int HIGHEST_PORT = 32_000;
+
   private static final String BOUNDS =
       "\"seedLagS=3\",\"reuseAfterS=2\",\"touchMs=3000\",\"ackMs=4000\",\"catchUpS=4\","
           + "\"drainMs=2000\",\"graceS=6\",\"lossSlackMs=200\",\"configMs=2000\",\"backMs=250\","
@@ -37,6 +41,7 @@
   private final PrintWriter record;
   private final long startedAt = System.nanoTime();
   private final List<Daemon> daemons = new ArrayList<>();
+  private String storeAddress = store.address();
 
   /** A daemon with its addresses. */
   final class Daemon {
@@ -167,6 +172,11 @@
     return !"0".equals(System.getenv("TROUBLE"));
   }
 
+  /** Sets the address at which the daemons reach the store. */
+  void setStoreAddress(String address) {
+    storeAddress = address;
+  }
+
   Daemon addDaemon(String name, int zone, String service) {
     Daemon daemon = new Daemon(name, ZONES.get(zone), service);
     daemons.add(daemon);
@@ -188,11 +198,22 @@
       Thread.sleep(100);
     }
     if (!daemon.isReady()) {
-      log("daemon " + daemon.name + " did not become ready");
+      log(
+          "daemon %s did not become ready; it runs: %s; its log ends with: %s"
+              .formatted(daemon.name, daemon.process.isAlive(), lastLines(daemon)));
       exit(EXIT_NOT_RUN);
     }
   }
 
+  private String lastLines(Daemon daemon) {
+    try {
+      List<String> lines = Files.readAllLines(work.resolve(daemon.name + ".log"));
+      return String.join("\n", lines.subList(Math.max(0, lines.size() - 10), lines.size()));
+    } catch (IOException e) {
+      return e.getMessage();
+    }
+  }
+
   /** Writes a line, with the milliseconds since the start, to the record. */
   void log(String line) {
     synchronized (record) {
@@ -242,11 +263,19 @@
     }
   }
 
+  /** Returns a loopback address whose port is free and is no port of outgoing connections. */
   static String freeAddress() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+      InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+      try (ServerSocket streams = new ServerSocket(port, 1, address.getAddress());
+          DatagramSocket datagrams = new DatagramSocket(address)) {
+        if (streams.isBound() && datagrams.isBound()) {
+          return "127.0.0.1:" + port;
+        }
+      } catch (IOException e) {
+        // The port is in use; another one is tried.
+      }
     }
   }
 
@@ -262,7 +291,7 @@
             .replace("{{ip}}:{{portRange.0}}", daemon.peers)
             .replace("{{listen.control}}", daemon.control)
             .replace("{{listen.ready}}", daemon.ready)
-            .replace("{{provider.address}}", store.address())
+            .replace("{{provider.address}}", storeAddress)
             .replace("{{#bounds}}\"{{.}}\"{{,}}{{/bounds}}", BOUNDS);
     if (filled.contains("{{")) {
       throw new IllegalStateException("the settings template has an unknown placeholder");
