Show that clients that leave early stop a daemon for good

When a client leaves while its request waits beside the server, the daemon there keeps the connection from the other daemon open for good. It runs out of descriptors and heap and answers nothing any more.

--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -29,6 +29,7 @@
   private static Script script(String name) {
     return switch (name) {
       case "endless-head" -> new EndlessHead();
+      case "queue-leak" -> new QueueLeak();
       case "broken-off" -> new BrokenOff();
       default -> throw new IllegalArgumentException(name);
     };
--- a/review/standins/Stage.java
+++ b/review/standins/Stage.java
@@ -41,7 +41,6 @@
   private final PrintWriter record;
   private final long startedAt = System.nanoTime();
   private final List<Daemon> daemons = new ArrayList<>();
-  private String storeAddress = store.address();
 
   /** A daemon with its addresses. */
   final class Daemon {
@@ -55,8 +54,6 @@
     final String ready = freeAddress();
     Process process;
     private int descriptorLimit;
-    private volatile int lastReadiness;
-    private volatile long readinessSince;
 
     private Daemon(String name, String zone, String service) {
       this.name = name;
@@ -64,45 +61,6 @@
       this.service = service;
     }
 
-    /** Asks for readiness once per second on one kept connection, as long as the stage runs. */
-    void pollReadiness() {
-      Server.thread(
-          () -> {
-            Http.Connection connection = null;
-            while (true) {
-              try {
-                connection = connection == null ? new Http.Connection(ready) : connection;
-                connection.send(
-                    Http.request(
-                        "GET", "/parsleycart/ready", Map.of("Host", ready), new byte[0]));
-                recordReadiness(connection.receive(1000).status(), "");
-              } catch (IOException e) {
-                connection = null;
-                recordReadiness(0, e.getMessage());
-              }
-              Server.pause(1000);
-            }
-          });
-    }
-
-    private void recordReadiness(int status, String cause) {
-      if (status != lastReadiness) {
-        log("readiness of " + name + ": status " + status + " " + cause);
-        readinessSince = millis();
-      }
-      lastReadiness = status;
-    }
-
-    /** Returns the status of the last readiness poll, 0 if there was no answer. */
-    int lastReadiness() {
-      return lastReadiness;
-    }
-
-    /** Returns since when the readiness polls have had the last status. */
-    long readinessSince() {
-      return readinessSince;
-    }
-
     /** Limits the open descriptors of the process, as the sheet of the machine does. */
     void limitDescriptors(int limit) {
       descriptorLimit = limit;
@@ -172,11 +130,6 @@
     return !"0".equals(System.getenv("TROUBLE"));
   }
 
-  /** Sets the address at which the daemons reach the store. */
-  void setStoreAddress(String address) {
-    storeAddress = address;
-  }
-
   Daemon addDaemon(String name, int zone, String service) {
     Daemon daemon = new Daemon(name, ZONES.get(zone), service);
     daemons.add(daemon);
@@ -291,7 +244,7 @@
             .replace("{{ip}}:{{portRange.0}}", daemon.peers)
             .replace("{{listen.control}}", daemon.control)
             .replace("{{listen.ready}}", daemon.ready)
-            .replace("{{provider.address}}", storeAddress)
+            .replace("{{provider.address}}", store.address())
             .replace("{{#bounds}}\"{{.}}\"{{,}}{{/bounds}}", BOUNDS);
     if (filled.contains("{{")) {
       throw new IllegalStateException("the settings template has an unknown placeholder");
