Show that a server that has left is used again after a restart of its daemon

A server deregisters, the daemon beside it is killed after its acknowledgement and starts again, and a heartbeat sent before arrives late. Requests reach the server again.

--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -30,6 +30,7 @@
     return switch (name) {
       case "endless-head" -> new EndlessHead();
       case "queue-leak" -> new QueueLeak();
+      case "late-heartbeat" -> new LateHeartbeat();
       case "broken-off" -> new BrokenOff();
       default -> throw new IllegalArgumentException(name);
     };
