Show that broken answers without a length cut a server off for good

Each answer without a length that is reset on the way takes one of the 100 connections that the daemon may open to its server. After 100 of them the sound server gets no request any more, until the daemon is restarted.

--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -32,6 +32,7 @@
       case "queue-leak" -> new QueueLeak();
       case "late-heartbeat" -> new LateHeartbeat();
       case "broken-off" -> new BrokenOff();
+      case "connection-leak" -> new ConnectionLeak();
       default -> throw new IllegalArgumentException(name);
     };
   }
