--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -33,6 +33,9 @@
       case "late-heartbeat" -> new LateHeartbeat();
       case "broken-off" -> new BrokenOff();
       case "connection-leak" -> new ConnectionLeak();
+      case "silent-store" -> new SilentStore();
+      case "replaced-order" -> new ReplacedOrder();
+      case "smuggling" -> new Smuggling();
       default -> throw new IllegalArgumentException(name);
     };
   }
--- a/review/standins/Configurations.java
+++ b/review/standins/Configurations.java
@@ -26,6 +26,18 @@
     stage.store.put("op", "config", FIRST);
   }
 
+  /** Writes a version that moves the route of bookings to another service. */
+  static void writeWithMovedBooking(Stage stage) {
+    stage.store.put(
+        "op",
+        "config",
+        FIRST
+            .replace("\"r1\"", "\"r4\"")
+            .replace(
+                "\"priority\":1,\"service\":\"scheduler\"",
+                "\"priority\":1,\"service\":\"notifier\""));
+  }
+
   /** Writes a version with a route that is split evenly between two services. */
   static void writeWithSplitRoute(Stage stage) {
     stage.store.put(
--- a/review/standins/ConnectionLeak.java
+++ b/review/standins/ConnectionLeak.java
@@ -91,6 +91,7 @@
     }
     Server.pause(40);
     String id = head.header("Parsleycart-Attempt-Id").orElse("");
+    stage.log(server.id + " runs " + id);
     output.write(
         Http.bytes(
             "HTTP/1.1 200 Answer\r\nParsleycart-Attempt-Id: "
@@ -134,6 +135,7 @@
     if (isSteady() && path.contains("/split/")) {
       splitSent.incrementAndGet();
     }
+    String id = "q" + number.incrementAndGet();
     String result;
     try (Http.Connection connection = new Http.Connection(entry.outbound)) {
       connection.send(
@@ -142,13 +144,14 @@
               path,
               Map.of(
                   "Host", "mesh.example",
-                  "Parsleycart-Attempt-Id", "q" + number.incrementAndGet(),
+                  "Parsleycart-Attempt-Id", id,
                   "Parsleycart-Deadline-Ms", "" + DEADLINE),
               new byte[0]));
       result = path + " " + connection.receive(DEADLINE).status();
     } catch (IOException e) {
       result = path + " no whole answer";
     }
+    stage.log("%s at %s: %s".formatted(id, entry.name, result));
     results.computeIfAbsent(result, unused -> new AtomicInteger()).incrementAndGet();
   }
 }
--- a/review/standins/QueueLeak.java
+++ b/review/standins/QueueLeak.java
@@ -56,6 +56,7 @@
         18,
         (server, head, input, output) -> {
           Http.readBody(head, input, false);
+          stage.log("i-3 runs " + head.header("Parsleycart-Attempt-Id").orElse("?"));
           Server.pause(WORK);
           server.answer(head, output, 200, new byte[1500]);
           return true;
@@ -68,6 +69,7 @@
           18,
           (server, head, input, output) -> {
             Http.readBody(head, input, false);
+            stage.log(server.id + " runs " + head.header("Parsleycart-Attempt-Id").orElse("?"));
             Server.pause(BOOKING_WORK);
             server.answer(head, output, 200, new byte[1500]);
             return true;
@@ -129,6 +131,7 @@
     } catch (IOException e) {
       result = leaves ? "left" : "no answer: " + e.getMessage();
     }
+    stage.log("lookup q%d at %s: %s".formatted(request, entry.name, result));
     results.computeIfAbsent(result, unused -> new AtomicInteger()).incrementAndGet();
   }
 
@@ -157,8 +160,8 @@
         overTimeout.incrementAndGet();
         boolean isUnanswered = duration > ROUTE_TIMEOUT + ANSWER_MARGIN;
         unanswered.addAndGet(isUnanswered ? 1 : 0);
-        stage.log("booking q%d at sidecar-3: %s after %d ms".formatted(request, result, duration));
       }
+      stage.log("booking q%d at sidecar-3: %s after %d ms".formatted(request, result, duration));
       Server.pause(400);
     }
   }
--- a/review/standins/Stage.java
+++ b/review/standins/Stage.java
@@ -41,6 +41,7 @@
   private final PrintWriter record;
   private final long startedAt = System.nanoTime();
   private final List<Daemon> daemons = new ArrayList<>();
+  private String storeAddress = store.address();
 
   /** A daemon with its addresses. */
   final class Daemon {
@@ -130,6 +131,11 @@
     return !"0".equals(System.getenv("TROUBLE"));
   }
 
+  /** Sets the address at which the daemons reach the store. */
+  void setStoreAddress(String address) {
+    storeAddress = address;
+  }
+
   Daemon addDaemon(String name, int zone, String service) {
     Daemon daemon = new Daemon(name, ZONES.get(zone), service);
     daemons.add(daemon);
@@ -244,7 +250,7 @@
             .replace("{{ip}}:{{portRange.0}}", daemon.peers)
             .replace("{{listen.control}}", daemon.control)
             .replace("{{listen.ready}}", daemon.ready)
-            .replace("{{provider.address}}", store.address())
+            .replace("{{provider.address}}", storeAddress)
             .replace("{{#bounds}}\"{{.}}\"{{,}}{{/bounds}}", BOUNDS);
     if (filled.contains("{{")) {
       throw new IllegalStateException("the settings template has an unknown placeholder");
