Send answers of unknown length in chunks, and reset what cannot be framed

Cause: a response without a length was sent without a framing of our own. On a connection that is to be closed the server library then sends it unframed, and the daemon closed that connection in order when its source failed or the deadline passed. The end of a failed answer was that of a whole one.

Change: ResponseFraming sets chunks for each body of unknown length, drops a length that stands beside chunks, and resets the connection of a caller that knows no chunks.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -176,7 +176,7 @@
         return;
       }
       if (exchange.isResponseStarted()) {
-        IoUtils.safeClose(exchange.getConnection());
+        ResponseFraming.abort(exchange);
         return;
       }
       String reason =
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -9,8 +9,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import io.undertow.util.Methods;
-import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -30,8 +28,6 @@
  */
 final class AttemptExecution {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
-  private static final int FIRST_INFORMATIONAL_STATUS = 100;
-  private static final int FIRST_FINAL_STATUS = 200;
 
   private final Attempt attempt;
   private final ConnectionPool pool;
@@ -171,7 +167,9 @@
     }
     ClientResponse response = answeredExchange.getResponse();
     maximumIdleTime = ConnectionPool.maximumIdleTime(response);
-    boolean isFramingAccepted = attempt.hop().allowsUnframedResponse() || isFramed(response);
+    boolean isFramingAccepted =
+        attempt.hop().allowsUnframedResponse()
+            || ResponseFraming.isFramed(attempt.exchange(), response);
     if (belongsToAnotherRequest(response) || !isFramingAccepted) {
       endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, Fault.UNUSABLE));
       return;
@@ -211,25 +209,13 @@
         : !echoedIdentifier.equals(attempt.requestIdentifier());
   }
 
-  private boolean isFramed(ClientResponse response) {
-    HeaderMap headers = response.getResponseHeaders();
-    int status = response.getResponseCode();
-    boolean hasNoBody =
-        attempt.exchange().getRequestMethod().equals(Methods.HEAD)
-            || status == StatusCodes.NO_CONTENT
-            || status == StatusCodes.NOT_MODIFIED
-            || (status >= FIRST_INFORMATIONAL_STATUS && status < FIRST_FINAL_STATUS);
-    return hasNoBody
-        || headers.contains(Headers.CONTENT_LENGTH)
-        || headers.contains(Headers.TRANSFER_ENCODING);
-  }
-
   private void deliver(ClientExchange answeredExchange, ClientResponse response) {
     isDelivering = true;
     HttpServerExchange exchange = attempt.exchange();
     exchange.setStatusCode(response.getResponseCode());
     HeaderMap headers = exchange.getResponseHeaders();
     CallHeaders.copyEndToEnd(response.getResponseHeaders(), headers);
+    ResponseFraming.frame(exchange, response);
     attempt.listener().beforeDelivery(exchange);
     OptionalInt status = OptionalInt.of(response.getResponseCode());
     BodyTransfer.start(
@@ -245,7 +231,7 @@
           @Override
           public void sourceFailed(IOException cause) {
             endAndClose(new AttemptResult(AttemptOutcome.UNKNOWN, true, Fault.BROKEN, status));
-            IoUtils.safeClose(exchange.getConnection());
+            ResponseFraming.abort(exchange);
           }
 
           @Override
@@ -280,13 +266,13 @@
   private void callerDisconnected() {
     AttemptOutcome outcome = connection == null ? AttemptOutcome.NOT_RUN : AttemptOutcome.UNKNOWN;
     endAndClose(new AttemptResult(outcome, true, Fault.CALLER_GONE, OptionalInt.empty()));
-    IoUtils.safeClose(attempt.exchange().getConnection());
+    ResponseFraming.abort(attempt.exchange());
   }
 
   private void deadlinePassed() {
     if (isDelivering) {
       endAndClose(new AttemptResult(AttemptOutcome.UNKNOWN, true, Fault.LATE, OptionalInt.empty()));
-      IoUtils.safeClose(attempt.exchange().getConnection());
+      ResponseFraming.abort(attempt.exchange());
     } else {
       endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, Fault.LATE));
     }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallDispatch.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallDispatch.java
@@ -3,7 +3,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import org.tinylog.Logger;
-import org.xnio.IoUtils;
 
 /** Dispatches exchanges, so that the server does not end them when its handler returns. */
 final class CallDispatch {
@@ -23,7 +22,7 @@
           "unexpected error while handling {} {}; closing the connection",
           exchange.getRequestMethod(),
           exchange.getRequestPath());
-      IoUtils.safeClose(exchange.getConnection());
+      ResponseFraming.abort(exchange);
     }
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -88,7 +88,7 @@
   private void callerDisconnected() {
     dependencies.metrics().recordCallerDisconnect();
     cancellation.cancel();
-    IoUtils.safeClose(exchange.getConnection());
+    ResponseFraming.abort(exchange);
     finish(mayHaveRun ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_RUN);
   }
 
@@ -213,7 +213,7 @@
 
   private void endWithoutResponse() {
     if (exchange.isResponseStarted()) {
-      IoUtils.safeClose(exchange.getConnection());
+      ResponseFraming.abort(exchange);
     } else if (mayHaveRun) {
       dependencies.responses().sendUnknown(exchange, request.identifier(), hasDeadlinePassed);
     } else {
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
@@ -0,0 +1,86 @@
+package org.parsleycart.daemon.call;
+
+import io.undertow.client.ClientResponse;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.Protocols;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
+import org.tinylog.Logger;
+import org.xnio.IoUtils;
+import org.xnio.Options;
+
+/**
+ * The framing of forwarded responses. The recipient of a response that breaks off must be able to
+ * tell it from a complete one.
+ */
+final class ResponseFraming {
+  private static final HttpString CHUNKED = new HttpString("chunked");
+  private static final int FIRST_FINAL_STATUS = 200;
+
+  private ResponseFraming() {}
+
+  // -- queries
+
+  /** Returns whether the response has no body, or has headers that show where its body ends. */
+  static boolean isFramed(HttpServerExchange exchange, ClientResponse response) {
+    HeaderMap headers = response.getResponseHeaders();
+    return !hasBody(exchange, response.getResponseCode())
+        || headers.contains(Headers.CONTENT_LENGTH)
+        || headers.contains(Headers.TRANSFER_ENCODING);
+  }
+
+  private static boolean hasBody(HttpServerExchange exchange, int status) {
+    return !exchange.getRequestMethod().equals(Methods.HEAD)
+        && status >= FIRST_FINAL_STATUS
+        && status != StatusCodes.NO_CONTENT
+        && status != StatusCodes.NOT_MODIFIED;
+  }
+
+  // -- operations
+
+  /**
+   * Frames the response of an exchange, whose status and end-to-end headers have been set.
+   *
+   * <p>A body of unknown length is sent in chunks even if the connection ends with it. Without
+   * chunks, the end of the connection would complete a body that broke off. Only recipients that
+   * predate chunks get such a body, whose failure {@link #abort} shows them.
+   */
+  static void frame(HttpServerExchange exchange, ClientResponse response) {
+    HeaderMap headers = exchange.getResponseHeaders();
+    if (response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)) {
+      // Chunks override a length (RFC 9112, section 6.3), which may be shorter than the body.
+      headers.remove(Headers.CONTENT_LENGTH);
+    }
+    boolean isOfKnownLength = headers.contains(Headers.CONTENT_LENGTH);
+    if (!isOfKnownLength
+        && hasBody(exchange, exchange.getStatusCode())
+        && exchange.getProtocol().equals(Protocols.HTTP_1_1)) {
+      headers.put(Headers.TRANSFER_ENCODING, CHUNKED.toString());
+    }
+  }
+
+  /**
+   * Closes the connection of an exchange whose response is incomplete or was not started. If the
+   * end of the connection would complete the response, the connection is reset.
+   */
+  static void abort(HttpServerExchange exchange) {
+    if (exchange.isResponseStarted() && endsWithConnection(exchange)) {
+      try {
+        exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+      } catch (IOException e) {
+        Logger.info("connection already closed before its reset: {}", e.getMessage());
+      }
+    }
+    IoUtils.safeClose(exchange.getConnection());
+  }
+
+  private static boolean endsWithConnection(HttpServerExchange exchange) {
+    HeaderMap headers = exchange.getResponseHeaders();
+    return !headers.contains(Headers.CONTENT_LENGTH)
+        && !headers.contains(Headers.TRANSFER_ENCODING);
+  }
+}
