Bound the head of each response that a daemon reads

Cause: the client of the HTTP library keeps all fields of a head, and the timer of the deadline runs on the thread that parses them.

Evidence: EndlessAnswerTest on the code before ends the process of the tests (512 MB) for want of memory.

The call fails as unusable and its connection is closed.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -1,7 +1,6 @@
 package org.parsleycart.daemon.call;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
@@ -18,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import org.parsleycart.daemon.call.AttemptResult.Fault;
 import org.parsleycart.decision.AttemptOutcome;
+import org.parsleycart.link.http.BoundedConnection;
+import org.parsleycart.link.http.OversizedHeadException;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
@@ -33,7 +34,7 @@
   private final ConnectionPool pool;
   private final ByteBufferPool buffers;
   private final InstantSource clock;
-  private ClientConnection connection;
+  private BoundedConnection connection;
   private XnioExecutor.Key timer;
   private boolean isRequestSent;
   private boolean isDelivering;
@@ -64,7 +65,7 @@
         attempt.address(),
         new ClientCallback<>() {
           @Override
-          public void completed(ClientConnection openedConnection) {
+          public void completed(BoundedConnection openedConnection) {
             connected(openedConnection);
           }
 
@@ -75,14 +76,14 @@
         });
   }
 
-  private void connected(ClientConnection openedConnection) {
+  private void connected(BoundedConnection openedConnection) {
     if (isEnded) {
       pool.release(attempt.address(), openedConnection, maximumIdleTime);
       return;
     }
     connection = openedConnection;
     setTimer(remaining(), this::deadlinePassed);
-    connection.sendRequest(
+    connection.send(
         request(),
         new ClientCallback<>() {
           @Override
@@ -126,12 +127,13 @@
         new ClientCallback<>() {
           @Override
           public void completed(ClientExchange answeredExchange) {
+            connection.headReceived();
             receive(answeredExchange);
           }
 
           @Override
           public void failed(IOException cause) {
-            connectionFailed();
+            responseFailed(cause);
           }
         });
     attempt
@@ -154,7 +156,7 @@
               public void sinkFailed(IOException cause) {
                 // The upstream may have responded early: its response, or the closed connection,
                 // ends the attempt.
-                IoUtils.safeClose(isEnded ? null : connection);
+                IoUtils.safeClose(isEnded ? null : connection.connection());
               }
             });
   }
@@ -259,8 +261,9 @@
     }
   }
 
-  private void connectionFailed() {
-    endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, Fault.BROKEN));
+  private void responseFailed(IOException cause) {
+    Fault fault = cause instanceof OversizedHeadException ? Fault.UNUSABLE : Fault.BROKEN;
+    endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, fault));
   }
 
   private void callerDisconnected() {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
@@ -30,7 +30,10 @@
     BROKEN,
     /** The deadline passed. */
     LATE,
-    /** The response belonged to another request, or had no length to prove it complete. */
+    /**
+     * The response belonged to another request, had no length to prove it complete, or had an
+     * oversized head.
+     */
     UNUSABLE,
     /** The upstream reported that it did not run the request. */
     REFUSED_BY_UPSTREAM,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -6,11 +6,9 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.HttpString;
 import java.io.IOException;
-import java.net.URI;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -21,6 +19,8 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.parsleycart.link.http.BoundedConnection;
+import org.parsleycart.link.http.BoundedConnector;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -45,8 +45,7 @@
   private static final HttpString KEEP_ALIVE = new HttpString("Keep-Alive");
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
-  private final XnioIoThread thread;
-  private final ByteBufferPool buffers;
+  private final BoundedConnector connector;
   private final InstantSource clock;
   private final int maximumConnectionsPerTarget;
   private final int maximumIdleConnections;
@@ -59,7 +58,7 @@
   }
 
   private record IdleConnection(
-      ClientConnection connection, Instant idleSince, Instant usableUntil) {}
+      BoundedConnection connection, Instant idleSince, Instant usableUntil) {}
 
   // -- construction
 
@@ -69,8 +68,14 @@
       InstantSource clock,
       int maximumConnectionsPerTarget,
       int maximumIdleConnections) {
-    this.thread = requireNonNull(thread, "thread is null");
-    this.buffers = requireNonNull(buffers, "buffers is null");
+    this.connector =
+        new BoundedConnector(
+            thread,
+            buffers,
+            OptionMap.builder()
+                .set(UndertowOptions.ENABLE_HTTP2, false)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
     this.clock = requireNonNull(clock, "clock is null");
     this.maximumConnectionsPerTarget = maximumConnectionsPerTarget;
     this.maximumIdleConnections = maximumIdleConnections;
@@ -84,9 +89,9 @@
    *
    * @param address the address as {@code host:port}
    */
-  void acquire(String address, ClientCallback<ClientConnection> callback) {
+  void acquire(String address, ClientCallback<BoundedConnection> callback) {
     Target target = targets.computeIfAbsent(address, unused -> new Target());
-    ClientConnection idle = takeIdle(target);
+    BoundedConnection idle = takeIdle(target);
     if (idle != null) {
       callback.completed(idle);
       return;
@@ -101,42 +106,35 @@
     connect(address, target, callback);
   }
 
-  private void connect(String address, Target target, ClientCallback<ClientConnection> callback) {
-    UndertowClient.getInstance()
-        .connect(
-            new ClientCallback<>() {
-              @Override
-              public void completed(ClientConnection connection) {
-                // Runs on the pool's thread. So does the close listener, even when that thread
-                // shuts down.
-                connection.addCloseListener(closed -> target.openCount--);
-                callback.completed(connection);
-              }
-
-              @Override
-              public void failed(IOException cause) {
-                target.openCount--;
-                callback.failed(cause);
-              }
-            },
-            URI.create("http://" + address + "/"),
-            thread,
-            buffers,
-            OptionMap.builder()
-                .set(UndertowOptions.ENABLE_HTTP2, false)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
+  private void connect(String address, Target target, ClientCallback<BoundedConnection> callback) {
+    connector.connect(
+        address,
+        new ClientCallback<>() {
+          @Override
+          public void completed(BoundedConnection connection) {
+            // Runs on the pool's thread. So does the close listener, even when that thread
+            // shuts down.
+            connection.connection().addCloseListener(closed -> target.openCount--);
+            callback.completed(connection);
+          }
+
+          @Override
+          public void failed(IOException cause) {
+            target.openCount--;
+            callback.failed(cause);
+          }
+        });
   }
 
-  private ClientConnection takeIdle(Target target) {
+  private BoundedConnection takeIdle(Target target) {
     Instant now = clock.instant();
     while (!target.idleConnections.isEmpty()) {
       IdleConnection idle = target.idleConnections.pollFirst();
       idleCount--;
-      if (idle.connection().isOpen() && idle.usableUntil().isAfter(now)) {
+      if (idle.connection().connection().isOpen() && idle.usableUntil().isAfter(now)) {
         return idle.connection();
       }
-      IoUtils.safeClose(idle.connection());
+      IoUtils.safeClose(idle.connection().connection());
     }
     return null;
   }
@@ -162,10 +160,10 @@
    * @param address the address of the connection as {@code host:port}
    * @param maximumIdleTime how long the connection may stay idle and still be reused
    */
-  void release(String address, ClientConnection connection, Duration maximumIdleTime) {
+  void release(String address, BoundedConnection connection, Duration maximumIdleTime) {
     Target target = targets.get(address);
-    if (!connection.isOpen() || target == null) {
-      IoUtils.safeClose(connection);
+    if (!connection.connection().isOpen() || target == null) {
+      IoUtils.safeClose(connection.connection());
       return;
     }
     Instant now = clock.instant();
@@ -180,7 +178,8 @@
    * Closes a connection after an incomplete exchange, so that the other side detects it
    * immediately. Undertow's own close sends nothing while a response is pending.
    */
-  void discard(ClientConnection connection) {
+  void discard(BoundedConnection discarded) {
+    ClientConnection connection = discarded.connection();
     if (!connection.isOpen()) {
       return;
     }
@@ -205,7 +204,7 @@
       longestIdle = isLongerIdle ? target : longestIdle;
     }
     if (longestIdle != null) {
-      IoUtils.safeClose(longestIdle.idleConnections.pollLast().connection());
+      IoUtils.safeClose(longestIdle.idleConnections.pollLast().connection().connection());
       idleCount--;
     }
     removeUnusedTargets();
--- /dev/null
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
@@ -0,0 +1,61 @@
+package org.parsleycart.link.http;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.StreamConnection;
+
+/**
+ * A client connection on which the head of each response is bounded. Confined to the input/output
+ * thread of the connection.
+ */
+public final class BoundedConnection {
+  private final ClientConnection connection;
+  private final StreamConnection stream;
+  private final BoundedHeadConduit heads;
+
+  BoundedConnection(
+      ClientConnection connection, StreamConnection stream, BoundedHeadConduit heads) {
+    this.connection = requireNonNull(connection, "connection is null");
+    this.stream = requireNonNull(stream, "stream is null");
+    this.heads = requireNonNull(heads, "heads is null");
+  }
+
+  /** Returns the connection, on which requests must not be sent directly. */
+  public ClientConnection connection() {
+    return connection;
+  }
+
+  /**
+   * Sends the head of a request.
+   *
+   * @param callback receives the exchange; {@link #headReceived} must be called once the exchange
+   *     has its response
+   */
+  public void send(ClientRequest request, ClientCallback<ClientExchange> callback) {
+    heads.expectHead();
+    connection.sendRequest(request, callback);
+  }
+
+  /** Records that the head of the response is complete. Its body is not bounded. */
+  public void headReceived() {
+    heads.completeHead();
+  }
+
+  /**
+   * Returns whether nothing has arrived on this idle connection, so that the next response on it
+   * belongs to the next request. The end of the connection counts as an arrival.
+   */
+  public boolean isSilent() {
+    try {
+      return connection.isOpen() && stream.getSourceChannel().read(ByteBuffer.allocate(1)) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
@@ -4,16 +4,13 @@
 
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientRequest;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.net.URI;
 import java.time.Duration;
 import java.util.Deque;
 import java.util.Map;
@@ -42,7 +39,7 @@
 
   private final XnioWorker worker;
   private final ByteBufferPool pool = new DefaultByteBufferPool(false, BUFFER_BYTES);
-  private final Map<String, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+  private final Map<String, Deque<BoundedConnection>> idle = new ConcurrentHashMap<>();
 
   // -- construction
 
@@ -88,7 +85,7 @@
     requireNonNull(address, "address is null");
     requireNonNull(request, "request is null");
     long deadline = System.nanoTime() + timeout.toNanos();
-    ClientConnection connection;
+    BoundedConnection connection;
     try {
       connection = connection(address, deadline);
     } catch (IOException e) {
@@ -99,43 +96,39 @@
       returnToPool(address, connection);
       return Either.right(response);
     } catch (IOException e) {
-      IoUtils.safeClose(connection);
+      IoUtils.safeClose(connection.connection());
       return Either.left(new LinkError.NoAnswer(address, String.valueOf(e.getMessage())));
     }
   }
 
-  private ClientConnection connection(String address, long deadline) throws IOException {
-    Deque<ClientConnection> idleConnections =
+  private BoundedConnection connection(String address, long deadline) throws IOException {
+    Deque<BoundedConnection> idleConnections =
         idle.computeIfAbsent(address, unused -> new ConcurrentLinkedDeque<>());
-    ClientConnection pooled = idleConnections.pollFirst();
-    while (pooled != null && !pooled.isOpen()) {
+    BoundedConnection pooled = idleConnections.pollFirst();
+    while (pooled != null && !pooled.connection().isOpen()) {
       pooled = idleConnections.pollFirst();
     }
     if (pooled != null) {
       return pooled;
     }
-    CompletableFuture<ClientConnection> opened = new CompletableFuture<>();
-    UndertowClient.getInstance()
-        .connect(
-            callback(opened),
-            URI.create("http://" + address + "/"),
-            worker,
-            pool,
-            OptionMap.create(UndertowOptions.ENABLE_HTTP2, false));
+    CompletableFuture<BoundedConnection> opened = new CompletableFuture<>();
+    new BoundedConnector(
+            worker.getIoThread(), pool, OptionMap.create(UndertowOptions.ENABLE_HTTP2, false))
+        .connect(address, callback(opened));
     return await(opened, deadline);
   }
 
-  private void returnToPool(String address, ClientConnection connection) {
-    Deque<ClientConnection> idleConnections = idle.get(address);
-    if (connection.isOpen() && idleConnections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
+  private void returnToPool(String address, BoundedConnection connection) {
+    Deque<BoundedConnection> idleConnections = idle.get(address);
+    if (connection.connection().isOpen() && idleConnections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
       idleConnections.addFirst(connection);
     } else {
-      IoUtils.safeClose(connection);
+      IoUtils.safeClose(connection.connection());
     }
   }
 
   private HttpResponse exchange(
-      ClientConnection connection, String address, HttpRequest request, long deadline)
+      BoundedConnection connection, String address, HttpRequest request, long deadline)
       throws IOException {
     ClientRequest clientRequest =
         new ClientRequest().setMethod(new HttpString(request.method())).setPath(request.path());
@@ -147,21 +140,22 @@
     clientRequest.getRequestHeaders().put(Headers.CONTENT_LENGTH, request.bodyBytes().length);
     CompletableFuture<HttpResponse> response = new CompletableFuture<>();
     connection
+        .connection()
         .getIoThread()
         .execute(
             () ->
-                connection.sendRequest(
-                    clientRequest, new HttpExchange(request.bodyBytes(), response)));
+                connection.send(
+                    clientRequest, new HttpExchange(connection, request.bodyBytes(), response)));
     return await(response, deadline);
   }
 
-  private static ClientCallback<ClientConnection> callback(
-      CompletableFuture<ClientConnection> future) {
+  private static ClientCallback<BoundedConnection> callback(
+      CompletableFuture<BoundedConnection> future) {
     return new ClientCallback<>() {
       @Override
-      public void completed(ClientConnection connection) {
+      public void completed(BoundedConnection connection) {
         if (!future.complete(connection)) {
-          IoUtils.safeClose(connection);
+          IoUtils.safeClose(connection.connection());
         }
       }
 
@@ -189,7 +183,10 @@
 
   @Override
   public void close() {
-    idle.values().forEach(connections -> connections.forEach(IoUtils::safeClose));
+    idle.values().stream()
+        .flatMap(Deque::stream)
+        .map(BoundedConnection::connection)
+        .forEach(IoUtils::safeClose);
     worker.shutdownNow();
   }
 }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpExchange.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpExchange.java
@@ -19,13 +19,16 @@
   private static final int MAXIMUM_RESPONSE_BYTES = 32 * 1024 * 1024;
   private static final int READ_BUFFER_BYTES = 4 * 1024;
 
+  private final BoundedConnection connection;
   private final ByteBuffer body;
   private final CompletableFuture<HttpResponse> response;
   private final ByteArrayOutputStream responseBody = new ByteArrayOutputStream();
 
   // -- construction
 
-  HttpExchange(byte[] body, CompletableFuture<HttpResponse> response) {
+  HttpExchange(
+      BoundedConnection connection, byte[] body, CompletableFuture<HttpResponse> response) {
+    this.connection = connection;
     this.body = ByteBuffer.wrap(body);
     this.response = response;
   }
@@ -38,6 +41,7 @@
         new ClientCallback<>() {
           @Override
           public void completed(ClientExchange exchangeWithResponse) {
+            connection.headReceived();
             readHead(exchangeWithResponse);
           }
 
