Repeat a worker's step after an error, and end the process with a thread

Cause: WorkerLoop caught exceptions only, nothing watched the threads, and readiness knew of the configuration only.

Evidence: the new cases of WorkerLoopTest; before, the first error left run().

Change: an error in a step is followed by another try, and the daemon is not ready until a step succeeds. Ten errors in a row end the thread. The end of any thread but a pool's ends the process with exit code 3; pools log the cause and start a new thread.

Result: 16 tests of the loop, the handler and MeshTest pass.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
@@ -77,7 +77,7 @@
     EnvelopeCodec envelopeCodec = new EnvelopeCodec(peerKeys);
     ControlTrafficCounters counters = new ControlTrafficCounters();
     FrameClient frameClient = new FrameClient(envelopeCodec, counters);
-    PeerSyncWorker peerSync = new PeerSyncWorker(frameClient, state.log(), clock);
+    PeerSyncWorker peerSync = new PeerSyncWorker(frameClient, state.log(), clock, state.workers());
     DatagramLink datagrams =
         DatagramLink.open(settings.addresses().control(), envelopeCodec, counters);
     Freshness freshness = new Freshness();
@@ -123,7 +123,8 @@
             pullPlanner::behindSince,
             isWatcher,
             clock,
-            new Random()),
+            new Random(),
+            state.workers()),
         survey,
         requestHandler);
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -59,7 +59,8 @@
             settings.addresses().control(),
             components.control().envelopeCodec(),
             components.control().counters(),
-            components.control().requestHandler());
+            components.control().requestHandler(),
+            (thread, cause) -> Logger.error(cause, "request of another daemon failed"));
     CallServer server = CallServer.create(settings.limits(), buffers);
     Daemon daemon = new Daemon(settings, components, frameServer, server);
     components.startWorkers();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -32,6 +32,7 @@
 import org.parsleycart.daemon.settings.DaemonLimits;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.daemon.state.MeshState;
+import org.parsleycart.daemon.state.WorkerHealth;
 import org.parsleycart.decision.admission.AdmissionSettings;
 import org.parsleycart.decision.admission.IdempotencyKeyRegistry;
 import org.parsleycart.decision.routing.RetryBudget;
@@ -81,7 +82,11 @@
     PeerKeys peerKeys = PeerKeys.of(settings.peerKeys());
     MeshState state =
         new MeshState(
-            settings.zone(), settings.labels(), ConfigurationLog.empty(), new UrgentFacts());
+            settings.zone(),
+            settings.labels(),
+            ConfigurationLog.empty(),
+            new UrgentFacts(),
+            new WorkerHealth());
     state.setCallerService(settings.upstreamService());
     UpstreamLoadTable loads = new UpstreamLoadTable();
     LocalUpstreams upstreams = new LocalUpstreams(admissionSettings(settings.limits()), clock);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonProcess.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonProcess.java
@@ -63,6 +63,7 @@
   // -- process
 
   private static int run(Path file, LoadedSettings loaded, PrintWriter errors) {
+    Thread.setDefaultUncaughtExceptionHandler(new UncaughtErrorHandler(Runtime.getRuntime()::halt));
     Daemon daemon;
     try {
       daemon = Daemon.start(loaded.settings());
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipWorker.java
@@ -82,7 +82,7 @@
     this.nextPublication = nextTick;
     this.lastReceivedFromOtherZone = nextTick;
     this.view = newView();
-    this.loop = new WorkerLoop("gossip", this::step);
+    this.loop = new WorkerLoop("gossip", this::step, state.workers());
   }
 
   public void start() {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/InForceSurvey.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/InForceSurvey.java
@@ -22,6 +22,7 @@
 import org.parsleycart.link.FrameClient;
 import org.parsleycart.link.LinkError;
 import org.parsleycart.link.Threads;
+import org.tinylog.Logger;
 
 /**
  * Counts the daemons at which a configuration version is in force. The request spreads as a tree:
@@ -54,7 +55,11 @@
             1,
             TimeUnit.SECONDS,
             new ArrayBlockingQueue<>(REQUEST_QUEUE_CAPACITY),
-            task -> Threads.newDaemonThread("in-force-survey", task));
+            task ->
+                Threads.newPoolThread(
+                    "in-force-survey",
+                    task,
+                    (thread, cause) -> Logger.error(cause, "survey of another daemon failed")));
     executor.allowCoreThreadTimeOut(true);
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/MaintenanceWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/MaintenanceWorker.java
@@ -50,7 +50,7 @@
     this.gossip = requireNonNull(gossip, "gossip is null");
     this.events = requireNonNull(events, "events is null");
     this.lastConfiguration = state.configuration();
-    this.loop = new WorkerLoop("maintenance", this::step);
+    this.loop = new WorkerLoop("maintenance", this::step, state.workers());
   }
 
   /** Starts the thread and announces every change of the upstreams by gossip from now on. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
+import org.parsleycart.daemon.state.WorkerHealth;
 import org.parsleycart.decision.membership.BucketDigests;
 import org.parsleycart.decision.message.ControlMessage;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationAnswer;
@@ -53,13 +54,15 @@
   // -- construction
 
   /** Creates the worker; {@link #start} starts its threads. */
-  public PeerSyncWorker(FrameClient frameClient, ConfigurationLog log, InstantSource clock) {
+  public PeerSyncWorker(
+      FrameClient frameClient, ConfigurationLog log, InstantSource clock, WorkerHealth health) {
     this.frameClient = requireNonNull(frameClient, "frameClient is null");
     this.log = requireNonNull(log, "log is null");
     this.clock = requireNonNull(clock, "clock is null");
-    this.pullLoop = new WorkerLoop("config-pull", () -> step(pullTasks));
+    this.pullLoop = new WorkerLoop("config-pull", () -> step(pullTasks), health);
     // A request to an unreachable peer blocks until its timeout, which must not delay pulls.
-    this.synchronizationLoop = new WorkerLoop("synchronizing", () -> step(synchronizationTasks));
+    this.synchronizationLoop =
+        new WorkerLoop("synchronizing", () -> step(synchronizationTasks), health);
   }
 
   /**
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformFeedWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformFeedWorker.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.parsleycart.daemon.state.WorkerHealth;
 import org.parsleycart.decision.spreading.FeedReadPolicy;
 import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.store.ConfigurationAuthority;
@@ -66,6 +67,7 @@
    * @param behindSince returns since when a peer has been known to hold a newer version, or empty
    * @param isWatcher set by this worker to whether this daemon is a watcher
    * @param random jitters the pauses, so that the reads of several daemons spread over time
+   * @param health records whether the steps of the worker end with errors
    */
   public PlatformFeedWorker(
       ConfigurationAuthority authority,
@@ -75,7 +77,8 @@
       Supplier<Optional<Instant>> behindSince,
       AtomicBoolean isWatcher,
       InstantSource clock,
-      RandomGenerator random) {
+      RandomGenerator random,
+      WorkerHealth health) {
     this.authority = requireNonNull(authority, "authority is null");
     this.platformWorker = requireNonNull(platformWorker, "platformWorker is null");
     this.members = requireNonNull(members, "members is null");
@@ -84,7 +87,7 @@
     this.isWatcher = requireNonNull(isWatcher, "isWatcher is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.random = requireNonNull(random, "random is null");
-    this.loop = new WorkerLoop("feed", this::step);
+    this.loop = new WorkerLoop("feed", this::step, health);
   }
 
   /** Starts the thread if the platform supports long polling, otherwise does nothing. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformWorker.java
@@ -85,7 +85,7 @@
     this.nextJoin = now;
     this.nextFactPersistence = now;
     this.peerWaitDeadline = authority.isLongPolling() ? now.plus(STARTUP_PEER_WAIT) : now;
-    this.loop = new WorkerLoop("platform", this::step);
+    this.loop = new WorkerLoop("platform", this::step, state.workers());
   }
 
   public void start() {
@@ -172,7 +172,7 @@
   }
 
   private void updateReadiness() {
-    if (state.isReady() || state.isStopping()) {
+    if (state.isServing() || state.isStopping()) {
       return;
     }
     MembershipView view = gossip.view();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/RolloutWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/RolloutWorker.java
@@ -72,7 +72,7 @@
     this.localEvidence = requireNonNull(localEvidence, "localEvidence is null");
     this.frameClient = requireNonNull(frameClient, "frameClient is null");
     this.clock = requireNonNull(clock, "clock is null");
-    this.loop = new WorkerLoop("rollouts", this::step);
+    this.loop = new WorkerLoop("rollouts", this::step, state.workers());
   }
 
   public void start() {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/state/MeshState.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/state/MeshState.java
@@ -18,6 +18,7 @@
   private final Map<String, String> labels;
   private final ConfigurationLog log;
   private final UrgentFacts facts;
+  private final WorkerHealth workers;
   private volatile UpstreamDirectory directory = UpstreamDirectory.empty();
   private volatile boolean ready;
   private volatile boolean isolated;
@@ -27,13 +28,22 @@
 
   // -- construction
 
-  /** Creates the state of a daemon that has just started and is not ready. */
+  /**
+   * Creates the state of a daemon that has just started and is not ready.
+   *
+   * @param workers the health of the workers, without which the daemon is not ready
+   */
   public MeshState(
-      String zone, Map<String, String> labels, ConfigurationLog log, UrgentFacts facts) {
+      String zone,
+      Map<String, String> labels,
+      ConfigurationLog log,
+      UrgentFacts facts,
+      WorkerHealth workers) {
     this.zone = requireNonNull(zone, "zone is null");
     this.labels = Map.copyOf(labels);
     this.log = requireNonNull(log, "log is null");
     this.facts = requireNonNull(facts, "facts is null");
+    this.workers = requireNonNull(workers, "workers is null");
   }
 
   // -- queries
@@ -60,17 +70,22 @@
     return facts;
   }
 
+  /** Returns the health of the background workers. */
+  public WorkerHealth workers() {
+    return workers;
+  }
+
   /** Returns the upstreams that may accept new calls. */
   public UpstreamDirectory directory() {
     return directory;
   }
 
   /**
-   * Returns whether callers may send calls here: a confirmed configuration is in force, and no
-   * graceful shutdown has begun.
+   * Returns whether callers may send calls here: a confirmed configuration is in force, no worker
+   * fails with errors, and no graceful shutdown has begun.
    */
   public boolean isReady() {
-    return ready && !stopping;
+    return ready && !stopping && workers.isSound();
   }
 
   /**
--- a/parsleycart-link/src/main/java/org/parsleycart/link/FrameServer.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/FrameServer.java
@@ -42,7 +42,8 @@
       ServerSocket serverSocket,
       EnvelopeCodec codec,
       ControlTrafficCounters counters,
-      Function<ControlMessage, ControlMessage> handler) {
+      Function<ControlMessage, ControlMessage> handler,
+      Thread.UncaughtExceptionHandler failures) {
     this.serverSocket = serverSocket;
     this.codec = codec;
     this.counters = counters;
@@ -54,7 +55,7 @@
             1,
             TimeUnit.MINUTES,
             new ArrayBlockingQueue<>(MAXIMUM_QUEUED_CONNECTIONS),
-            task -> Threads.newDaemonThread("frame-answering", task),
+            task -> Threads.newPoolThread("frame-answering", task, failures),
             new ThreadPoolExecutor.AbortPolicy());
     this.acceptingThread = Threads.newDaemonThread("frame-accepting", this::acceptAll);
   }
@@ -66,19 +67,21 @@
    * @param codec verifies requests and signs answers
    * @param counters counts the messages and bytes
    * @param handler returns the answer to each request; called on several threads
+   * @param failures receives the exceptions and errors of the handler
    * @throws IOException when the address cannot be used
    */
   public static FrameServer open(
       InetSocketAddress address,
       EnvelopeCodec codec,
       ControlTrafficCounters counters,
-      Function<ControlMessage, ControlMessage> handler)
+      Function<ControlMessage, ControlMessage> handler,
+      Thread.UncaughtExceptionHandler failures)
       throws IOException {
     requireNonNull(handler, "handler is null");
     ServerSocket socket = new ServerSocket();
     socket.setReuseAddress(true);
     socket.bind(address, BACKLOG);
-    FrameServer server = new FrameServer(socket, codec, counters, handler);
+    FrameServer server = new FrameServer(socket, codec, counters, handler, failures);
     server.acceptingThread.start();
     return server;
   }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/Threads.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/Threads.java
@@ -13,4 +13,17 @@
     thread.setDaemon(true);
     return thread;
   }
+
+  /**
+   * Creates a thread of a pool, which starts a new one after one that ended with an exception or an
+   * error; the thread is not started.
+   *
+   * @param failures receives what ended the thread
+   */
+  public static Thread newPoolThread(
+      String name, Runnable task, Thread.UncaughtExceptionHandler failures) {
+    Thread thread = newDaemonThread(name, task);
+    thread.setUncaughtExceptionHandler(requireNonNull(failures, "failures is null"));
+    return thread;
+  }
 }
