--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
@@ -33,6 +33,7 @@
 import org.parsleycart.link.FrameClient;
 import org.parsleycart.link.PeerKeys;
 import org.parsleycart.store.ConfigurationAuthority;
+import org.parsleycart.store.TransactionalTable;
 
 /**
  * The components of a daemon that exchange control messages with other daemons and with the
@@ -43,6 +44,7 @@
  * @param frameClient sends requests to other daemons
  * @param gossip runs the gossip protocol
  * @param peerSync pulls versions and member records from peers
+ * @param table the table of the platform
  * @param authority reads and accepts versions of the configuration
  * @param platformClock the clock shared by all daemons, or the local clock if the platform provides
  *     none
@@ -57,6 +59,7 @@
     FrameClient frameClient,
     GossipWorker gossip,
     PeerSyncWorker peerSync,
+    TransactionalTable table,
     ConfigurationAuthority authority,
     InstantSource platformClock,
     PlatformWorker platformWorker,
@@ -112,6 +115,7 @@
         frameClient,
         gossip,
         peerSync,
+        platform.services().table(),
         platform.authority(),
         platform.clock(),
         platformWorker,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -18,6 +18,7 @@
 import org.parsleycart.daemon.call.MeshResponses;
 import org.parsleycart.daemon.call.ReadDelays;
 import org.parsleycart.daemon.call.UpstreamLifecycleHandler;
+import org.parsleycart.daemon.control.DepartureRegister;
 import org.parsleycart.daemon.control.LocalEvidence;
 import org.parsleycart.daemon.control.MaintenanceWorker;
 import org.parsleycart.daemon.control.RolloutChangeWriter;
@@ -55,6 +56,7 @@
  * @param callsInProgress the calls accepted from callers that have not ended
  * @param maintenance maintains the upstreams next to the daemon
  * @param rolloutWorker evaluates rollouts
+ * @param departures stores the departures of the upstreams next to the daemon
  * @param entryHandler handles calls from callers
  * @param admissionHandler handles calls from other daemons
  * @param operatorHandler handles requests of operators
@@ -68,6 +70,7 @@
     CallsInProgress callsInProgress,
     MaintenanceWorker maintenance,
     RolloutWorker rolloutWorker,
+    DepartureRegister departures,
     HttpHandler entryHandler,
     HttpHandler admissionHandler,
     HttpHandler operatorHandler) {
@@ -102,6 +105,7 @@
         entryDependencies(
             settings, dialect, state, loads, admission, forwarder, signer, telemetry, clock);
     CallsInProgress callsInProgress = new CallsInProgress();
+    DepartureRegister departures = departures(settings, state, control, upstreams, clock);
     DaemonMetrics.register(
         telemetry.registry(),
         state,
@@ -119,6 +123,7 @@
         callsInProgress,
         new MaintenanceWorker(state, upstreams, control.gossip(), telemetry.events()),
         rolloutWorker(state, control, changeAcceptor, localEvidence),
+        departures,
         callsInProgress.countingHandler(new EntryHandler(entryDependencies)),
         new AdmissionHandler(
             state,
@@ -131,10 +136,21 @@
         new UpstreamLifecycleHandler(
             dialect,
             upstreams,
+            departures,
             state,
             operatorHandler(state, telemetry, control, changeAcceptor, upstreams, loads, clock)));
   }
 
+  private static DepartureRegister departures(
+      DaemonSettings settings,
+      MeshState state,
+      ControlComponents control,
+      LocalUpstreams upstreams,
+      MonotonicClock clock) {
+    return new DepartureRegister(
+        control.table(), settings.identifier(), upstreams, clock, state.workers());
+  }
+
   private static RolloutWorker rolloutWorker(
       MeshState state,
       ControlComponents control,
@@ -242,9 +258,11 @@
     control.start();
     maintenance.start();
     rolloutWorker.start();
+    departures.start();
   }
 
   void stopWorkers() {
+    departures.stop();
     rolloutWorker.stop();
     maintenance.stop();
     control.stop();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +16,7 @@
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
+import org.parsleycart.decision.membership.DepartedProcess;
 import org.parsleycart.decision.membership.DepartedUpstreams;
 import org.parsleycart.decision.membership.UpstreamHeartbeat;
 import org.tinylog.Logger;
@@ -35,6 +37,11 @@
   private final DepartedUpstreams departedUpstreams = new DepartedUpstreams();
   private final AdmissionSettings settings;
   private final InstantSource clock;
+
+  /** The last heartbeat of each upstream that waits for {@link #restore}. */
+  private final Map<String, UpstreamHeartbeat> waitingHeartbeats = new LinkedHashMap<>();
+
+  private boolean isRestored;
   private volatile Runnable changeListener = () -> {};
 
   /**
@@ -83,12 +90,42 @@
 
   /**
    * Adds or updates the upstream that sent a heartbeat. Ignores a heartbeat that is older than
-   * another one from the same address, or that comes from a deregistered process.
+   * another one from the same address, or that comes from a process that has left. Before {@link
+   * #restore} the heartbeat waits, as its sender may have left before this daemon started.
    *
    * @return whether the heartbeat was applied
    */
   public synchronized boolean receiveHeartbeat(UpstreamHeartbeat heartbeat) {
     requireNonNull(heartbeat, "heartbeat is null");
+    if (!isRestored) {
+      waitingHeartbeats.merge(
+          heartbeat.upstream().identifier(),
+          heartbeat,
+          (before, later) -> later.isNewerThan(before) ? later : before);
+      return false;
+    }
+    return applyHeartbeat(heartbeat);
+  }
+
+  /**
+   * Records the processes that left before this daemon started, removes them, and applies the
+   * heartbeats that have waited for this. May be called again when more of them become known.
+   */
+  public synchronized void restore(List<DepartedProcess> departed) {
+    departed.forEach(departedUpstreams::record);
+    upstreams.values().stream()
+        .flatMap(upstream -> upstream.heartbeat().stream())
+        .filter(departedUpstreams::hasLeft)
+        .map(heartbeat -> heartbeat.upstream().identifier())
+        .toList()
+        .forEach(this::remove);
+    isRestored = true;
+    List<UpstreamHeartbeat> waiting = List.copyOf(waitingHeartbeats.values());
+    waitingHeartbeats.clear();
+    waiting.forEach(this::applyHeartbeat);
+  }
+
+  private boolean applyHeartbeat(UpstreamHeartbeat heartbeat) {
     if (departedUpstreams.hasLeft(heartbeat) || isOutdated(heartbeat)) {
       return false;
     }
@@ -151,13 +188,23 @@
         .forEach(this::remove);
   }
 
-  /** Removes an upstream at its own request. Its heartbeats still in transit will be ignored. */
-  public synchronized void deregister(String identifier) {
+  /**
+   * Removes an upstream at its own request. Its heartbeats still in transit will be ignored.
+   *
+   * @return the process that has left; without a heartbeat of it, any that started before now
+   */
+  public synchronized DepartedProcess deregister(String identifier) {
     LocalUpstream upstream = upstreams.get(identifier);
-    Optional<UpstreamHeartbeat> last = upstream == null ? Optional.empty() : upstream.heartbeat();
-    departedUpstreams.recordDeparture(identifier, last, clock.instant());
+    DepartedProcess departed =
+        Optional.ofNullable(upstream)
+            .flatMap(LocalUpstream::heartbeat)
+            .or(() -> Optional.ofNullable(waitingHeartbeats.remove(identifier)))
+            .map(DepartedProcess::of)
+            .orElseGet(() -> new DepartedProcess(identifier, clock.millis()));
+    departedUpstreams.record(departed);
     Logger.info("upstream {} has left", identifier);
     remove(identifier);
+    return departed;
   }
 
   /**
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/InForceSurvey.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/InForceSurvey.java
@@ -45,6 +45,7 @@
 
   // -- construction
 
+  /** Creates a survey, which asks the members of a request on threads of its own. */
   public InForceSurvey(MeshState state, FrameClient frameClient) {
     this.state = requireNonNull(state, "state is null");
     this.frameClient = requireNonNull(frameClient, "frameClient is null");
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/LocalUpstreamsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/LocalUpstreamsTest.java
@@ -6,10 +6,12 @@
 import java.time.Instant;
 import java.time.ZoneOffset;
 import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.parsleycart.decision.admission.AdmissionSettings;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
+import org.parsleycart.decision.membership.DepartedProcess;
 import org.parsleycart.decision.membership.UpstreamHeartbeat;
 import org.threeten.extra.MutableClock;
 
@@ -18,6 +20,11 @@
   private final LocalUpstreams upstreams =
       new LocalUpstreams(new AdmissionSettings(2, 8, true), clock);
 
+  @BeforeEach
+  void restoreNothing() {
+    upstreams.restore(List.of());
+  }
+
   private static UpstreamHeartbeat heartbeat(
       String identifier, String service, long startedAt, long sequence, boolean isDraining) {
     return new UpstreamHeartbeat(
@@ -144,4 +151,59 @@
       assertThat(receive("a", clock.millis() + 1000, 1)).isTrue();
     }
   }
+
+  /** Guards against an upstream that has left and is used again after a restart of its daemon. */
+  @Nested
+  class Restoration {
+    private final LocalUpstreams restarted =
+        new LocalUpstreams(new AdmissionSettings(2, 8, true), clock);
+
+    private List<String> announced() {
+      return restarted.announced().stream().map(AnnouncedUpstream::identifier).toList();
+    }
+
+    @Test
+    void shouldKeepHeartbeatsWaitingBeforeIt() {
+      restarted.receiveHeartbeat(heartbeat("left", "one", 1, 5, false));
+
+      assertThat(announced()).isEmpty();
+    }
+
+    @Test
+    void shouldApplyTheLastHeartbeatOfEachUpstreamThatHasNotLeft() {
+      restarted.receiveHeartbeat(heartbeat("left", "one", 1, 5, false));
+      restarted.receiveHeartbeat(
+          new UpstreamHeartbeat(
+              new AnnouncedUpstream("running", "one", "v1", 4, true),
+              "127.0.0.1:8",
+              1,
+              7,
+              Duration.ZERO));
+
+      restarted.restore(List.of(new DepartedProcess("left", 1)));
+
+      assertThat(announced()).containsExactly("running");
+      assertThat(restarted.announced().get(0).draining()).isTrue();
+    }
+
+    @Test
+    void shouldRemoveUpstreamWhenItsDepartureBecomesKnownLater() {
+      restarted.restore(List.of());
+      restarted.receiveHeartbeat(heartbeat("left", "one", 1, 5, false));
+
+      restarted.restore(List.of(new DepartedProcess("left", 1)));
+
+      assertThat(announced()).isEmpty();
+      assertThat(restarted.receiveHeartbeat(heartbeat("left", "one", 1, 6, false))).isFalse();
+    }
+
+    @Test
+    void shouldAcceptALaterProcessOfTheSameUpstream() {
+      restarted.restore(List.of(new DepartedProcess("left", 1)));
+
+      restarted.receiveHeartbeat(heartbeat("left", "one", 2, 1, false));
+
+      assertThat(announced()).containsExactly("left");
+    }
+  }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DepartedUpstreams.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DepartedUpstreams.java
@@ -2,10 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * Remembers upstreams that have deregistered, so that a heartbeat sent before the deregistration
@@ -20,19 +18,12 @@
 
   // -- events
 
-  /**
-   * Records that an upstream has left.
-   *
-   * @param lastHeartbeat the last heartbeat of the upstream, empty when none was received
-   * @param now the current time; without a last heartbeat, only a process that starts later can
-   *     register again
-   */
-  public void recordDeparture(
-      String identifier, Optional<UpstreamHeartbeat> lastHeartbeat, Instant now) {
-    requireNonNull(identifier, "identifier is null");
-    departedProcessStarts.remove(identifier);
-    departedProcessStarts.put(
-        identifier, lastHeartbeat.map(UpstreamHeartbeat::startedAt).orElseGet(now::toEpochMilli));
+  /** Records that a process has left, unless a later one of the same upstream has. */
+  public void record(DepartedProcess departed) {
+    requireNonNull(departed, "departed is null");
+    Long before = departedProcessStarts.remove(departed.identifier());
+    long startedAt = before == null ? departed.startedAt() : Math.max(before, departed.startedAt());
+    departedProcessStarts.put(departed.identifier(), startedAt);
     if (departedProcessStarts.size() > MAXIMUM_REMEMBERED) {
       departedProcessStarts.remove(departedProcessStarts.keySet().iterator().next());
     }
