Reject addresses to which no connection can be opened

A heartbeat with a port out of range, 999.1.1.1 or a host name announced an upstream, and each call to it took a connection and a slot for good; callers saw closed connections. 999.1.1.1 was handed to the resolver of names.

Cause: the address of a heartbeat was any text, and the connection pool threw on it after it had counted a connection.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.parsleycart.link.Addresses;
 import org.parsleycart.link.http.BoundedConnection;
 import org.parsleycart.link.http.BoundedConnector;
 import org.xnio.IoUtils;
@@ -90,6 +91,10 @@
    * @param address the address as {@code host:port}
    */
   void acquire(String address, ClientCallback<BoundedConnection> callback) {
+    if (Addresses.parseTarget(address).isEmpty()) {
+      callback.failed(new IOException("\"" + address + "\" is not an IP address and port"));
+      return;
+    }
     Target target = targets.computeIfAbsent(address, unused -> new Target());
     BoundedConnection idle = takeIdle(target);
     if (idle != null) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/UpstreamActions.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/UpstreamActions.java
@@ -60,8 +60,8 @@
             (int) reader.requiredNumber("slots", 1, AnnouncedUpstream.MAXIMUM_SLOTS),
             false);
     String address = reader.requiredText("address");
-    if (reader.has("address") && Addresses.parse(address).isEmpty()) {
-      reader.report("address", "\"" + address + "\"", "an IP address and port");
+    if (reader.has("address") && Addresses.parseTarget(address).isEmpty()) {
+      reader.report("address", "\"" + address + "\"", "an IP address and a port above 0");
     }
     Optional<Duration> renewWithin = reader.duration("renewWithin");
     reader.reportUnknownKeys();
--- a/parsleycart-link/src/main/java/org/parsleycart/link/Addresses.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/Addresses.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -14,6 +15,7 @@
   private static final Pattern FORMAT =
       Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):([0-9]{1,5})");
   private static final int MAXIMUM_PORT = 65_535;
+  private static final int MAXIMUM_OCTET = 255;
 
   private Addresses() {}
 
@@ -26,7 +28,9 @@
   public static Optional<InetSocketAddress> parse(String text) {
     requireNonNull(text, "text is null");
     Matcher matcher = FORMAT.matcher(text);
-    if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAXIMUM_PORT) {
+    if (!matcher.matches()
+        || Integer.parseInt(matcher.group(2)) > MAXIMUM_PORT
+        || !isNumeric(matcher.group(1))) {
       return Optional.empty();
     }
     try {
@@ -37,6 +41,22 @@
     }
   }
 
+  /** Returns whether a host needs no resolver, which would take a text such as 999.1.1.1. */
+  private static boolean isNumeric(String host) {
+    return host.startsWith("[")
+        || Arrays.stream(host.split("\\.", -1))
+            .allMatch(octet -> Integer.parseInt(octet) <= MAXIMUM_OCTET);
+  }
+
+  /**
+   * Parses an address to which connections can be opened.
+   *
+   * @param text as for {@link #parse}; the port must not be 0
+   */
+  public static Optional<InetSocketAddress> parseTarget(String text) {
+    return parse(text).filter(address -> address.getPort() > 0);
+  }
+
   /** Formats an address; an IPv6 address is enclosed in brackets. */
   public static String format(InetSocketAddress address) {
     requireNonNull(address, "address is null");
--- a/parsleycart-link/src/main/java/org/parsleycart/link/DatagramLink.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/DatagramLink.java
@@ -64,7 +64,7 @@
   /** Sends a message. A message that cannot be sent is counted and dropped. */
   public void send(OutgoingMessage outgoing) {
     requireNonNull(outgoing, "outgoing is null");
-    Optional<InetSocketAddress> target = Addresses.parse(outgoing.target());
+    Optional<InetSocketAddress> target = Addresses.parseTarget(outgoing.target());
     if (target.isEmpty()) {
       counters.recordRejected();
       return;
--- a/parsleycart-link/src/main/java/org/parsleycart/link/FrameClient.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/FrameClient.java
@@ -66,7 +66,7 @@
       Duration timeout,
       Runnable onConnected) {
     requireNonNull(request, "request is null");
-    Optional<InetSocketAddress> target = Addresses.parse(address);
+    Optional<InetSocketAddress> target = Addresses.parseTarget(address);
     if (target.isEmpty()) {
       return Either.left(new LinkError.Unreachable(address, "not an IP address and port"));
     }
