Do not send a call on a connection with unread bytes

Callers got a 502 for bookings that had run (up to 601 of 2,132, measured by the users): an upstream had written an answer twice, and the copy lay on the idle connection on which the next call was sent.

Cause: an idle connection was handed out as long as it was open. The library closes one on which bytes arrive only when its thread next looks at it, which may be after the next call.

Evidence: ConnectionPoolTest acquires a connection in the task in which the stray bytes arrive; both cases failed.

Change: the pool reads from an idle connection before it hands it out and closes one on which anything has arrived.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -136,7 +136,7 @@
     while (!target.idleConnections.isEmpty()) {
       IdleConnection idle = target.idleConnections.pollFirst();
       idleCount--;
-      if (idle.connection().connection().isOpen() && idle.usableUntil().isAfter(now)) {
+      if (idle.usableUntil().isAfter(now) && idle.connection().isSilent()) {
         return idle.connection();
       }
       IoUtils.safeClose(idle.connection().connection());
