Close a connection after an answer that did not echo its call

Cause: a connection was reused after an answer without an echo, so that nothing tells a late copy from the next answer.

Change: without an echo the connection is closed after the answer. The stand-in upstream echoes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -39,6 +39,7 @@
   private boolean isRequestSent;
   private boolean isDelivering;
   private boolean isEnded;
+  private boolean isEchoed;
   private Duration maximumIdleTime = ConnectionPool.MAXIMUM_IDLE_TIME;
 
   // -- construction
@@ -169,6 +170,7 @@
     }
     ClientResponse response = answeredExchange.getResponse();
     maximumIdleTime = ConnectionPool.maximumIdleTime(response);
+    isEchoed = response.getResponseHeaders().contains(attempt.hop().identifierHeader());
     boolean isFramingAccepted =
         attempt.hop().allowsUnframedResponse()
             || ResponseFraming.isFramed(attempt.exchange(), response);
@@ -185,10 +187,10 @@
     deliver(answeredExchange, response);
   }
 
-  /** Keeps the connection if the withheld response has no body, otherwise closes it. */
+  /** Keeps the connection if the withheld response echoes the call and has no body. */
   private void releaseUnread(ClientExchange answeredExchange, ClientResponse response) {
     boolean isEmpty = "0".equals(response.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH));
-    if (isEmpty && isRequestSent && isAtEnd(answeredExchange.getResponseChannel())) {
+    if (isEchoed && isEmpty && isRequestSent && isAtEnd(answeredExchange.getResponseChannel())) {
       pool.release(attempt.address(), connection, maximumIdleTime);
     } else {
       pool.discard(connection);
@@ -244,7 +246,7 @@
   }
 
   private void delivered(OptionalInt status) {
-    if (!isEnded && isRequestSent) {
+    if (!isEnded && isRequestSent && isEchoed) {
       pool.release(attempt.address(), connection, maximumIdleTime);
     } else if (!isEnded) {
       pool.discard(connection);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/HopPolicy.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/HopPolicy.java
@@ -10,7 +10,8 @@
  * The header and framing rules for calls to one kind of process.
  *
  * @param identifierHeader the header that carries the request identifier; the response echoes it
- * @param requiresEcho whether a response without that header is rejected
+ * @param requiresEcho whether a response without that header is rejected; after one that is not
+ *     rejected its connection is closed, because a copy of it could not be told from a later answer
  * @param allowsUnframedResponse whether a response without a length may end with its connection
  * @param replacedHeaders the headers of the received request that are not forwarded
  */
--- a/parsleycart-standin/src/main/java/org/parsleycart/standin/UpstreamStandin.java
+++ b/parsleycart-standin/src/main/java/org/parsleycart/standin/UpstreamStandin.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -28,6 +29,11 @@
 public final class UpstreamStandin implements AutoCloseable {
   private static final Duration NEW_CONNECTION_COST = Duration.ofMillis(1);
   private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+
+  /** An upstream that echoes this header keeps its connections for further calls. */
+  private static final HttpString REQUEST_IDENTIFIER =
+      new HttpString("X-Parsleycart-Request-Identifier");
+
   private static final AttachmentKey<Boolean> KNOWN_CONNECTION =
       AttachmentKey.create(Boolean.class);
 
@@ -142,6 +148,8 @@
     boolean failed = failing || overloaded;
     exchange.setStatusCode(failed ? StatusCodes.INTERNAL_SERVER_ERROR : StatusCodes.OK);
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    Optional.ofNullable(exchange.getRequestHeaders().getFirst(REQUEST_IDENTIFIER))
+        .ifPresent(echoed -> exchange.getResponseHeaders().put(REQUEST_IDENTIFIER, echoed));
     exchange.getResponseHeaders().put(new HttpString("X-Upstream"), name);
     exchange.getResponseHeaders().put(new HttpString("X-Version"), version);
     Document body =
