Show that an answer that breaks off within its head is no success

Another operator's clients got a 200 with an empty or short body when a server stopped within the head of its answer.

--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/BrokenOffAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/BrokenOffAnswerTest.java
@@ -215,6 +215,49 @@
     assertThat(isCompleteSuccess).as(response.map(WireMessage::headers).toString()).isFalse();
   }
 
+  /** Guards against an answer that broke off within its head and became a success. */
+  @ParameterizedTest
+  @MethodSource("brokenOffHeads")
+  void shouldNotLookCompleteWhenHeadBrokeOff(
+      String head, Ending ending, Caller caller, int member) {
+    upstream.setScript(
+        (request, socket) -> {
+          String identifier = request.header("Parsleycart-Attempt-Id").orElse("");
+          SocketUpstream.write(socket, head.replace("ID", identifier));
+          return ending.apply(socket);
+        });
+    int before = upstream.requests();
+
+    Optional<WireMessage> response = callUnlessCutOff(caller, mesh.member(member));
+
+    assertThat(upstream.requests()).isEqualTo(before + 1);
+    assertThat(response.filter(any -> any.status() == 200)).isEmpty();
+  }
+
+  static Stream<Arguments> brokenOffHeads() {
+    String whole = "HTTP/1.1 200 OK\r\nParsleycart-Attempt-Id: ID\r\nContent-Length: 0\r\n";
+    return Stream.of(
+            "",
+            "HTTP/1.1 20",
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 200 OK\r\nParsleycart-Attempt-Id: ID",
+            "HTTP/1.1 200 OK\r\nParsleycart-Attempt-Id: ID\r\nContent-Le",
+            whole,
+            whole + "\r")
+        .flatMap(
+            head ->
+                Stream.of(Ending.values())
+                    .flatMap(
+                        ending ->
+                            Stream.of(Caller.values())
+                                .flatMap(
+                                    caller ->
+                                        Stream.of(0, 1)
+                                            .map(
+                                                member ->
+                                                    Arguments.of(head, ending, caller, member)))));
+  }
+
   /** Returns the response, empty if the connection ended before its head did. */
   private static Optional<WireMessage> callUnlessCutOff(Caller caller, PlatformMesh.Member entry) {
     try {
