Close each discarded connection, also one that is marked to be closed

Cause: such an answer marks its connection as one to be closed before it is; discard() took that for closed.

Evidence: shouldReleaseConnectionsWhenAnswersWithoutALengthBrokeOff failed for each ending after eight connections.

Change: discard() closes in any case.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -181,13 +181,11 @@
 
   /**
    * Closes a connection after an incomplete exchange, so that the other side detects it
-   * immediately. Undertow's own close sends nothing while a response is pending.
+   * immediately. Undertow's own close sends nothing while a response is pending, and does not
+   * happen at all for a response that was to end with its connection and broke off.
    */
   void discard(BoundedConnection discarded) {
     ClientConnection connection = discarded.connection();
-    if (!connection.isOpen()) {
-      return;
-    }
     try {
       IoUtils.safeClose(connection.performUpgrade());
     } catch (IOException e) {
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/PlatformMesh.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/PlatformMesh.java
@@ -25,6 +25,10 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final Duration MAXIMUM_WAIT = Duration.ofSeconds(30);
   private static final int PORTS_PER_DAEMON = 5;
+
+  /** Few, so that a test soon notices connections that are not released. */
+  public static final int CONNECTIONS_PER_TARGET = 8;
+
   private static final int BIND_ATTEMPTS = 20;
 
   private final StoreStandin store =
@@ -88,7 +92,8 @@
                     operators: "127.0.0.1:%d", readiness: "127.0.0.1:%d"}
         platform: "%s"
         peerKeys: [test-key-0123456789]
-        limits: {trustsSlots: true, inputOutputThreads: 1, drainTimeout: 5s}
+        limits: {trustsSlots: true, inputOutputThreads: 1, drainTimeout: 5s,
+                 connectionsPerTarget: %d}
         """
             .formatted(
                 service,
@@ -97,7 +102,8 @@
                 ports.get(2),
                 ports.get(3),
                 ports.get(4),
-                store.address());
+                store.address(),
+                CONNECTIONS_PER_TARGET);
     return DaemonSettings.parse("test", text).get();
   }
 
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/BrokenOffAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/BrokenOffAnswerTest.java
@@ -267,6 +267,20 @@
     }
   }
 
+  /** Guards against a sound upstream that gets no calls, because broken ones hold connections. */
+  @ParameterizedTest
+  @EnumSource(Ending.class)
+  void shouldReleaseConnectionsWhenAnswersWithoutALengthBrokeOff(Ending ending) throws IOException {
+    for (int answer = 0; answer <= PlatformMesh.CONNECTIONS_PER_TARGET; answer++) {
+      upstream.setScript(
+          (request, socket) ->
+              answer(request, socket, Framing.NONE.headers + Framing.NONE.part, ending));
+      Optional<WireMessage> brokenOff = callUnlessCutOff(Caller.KEEPS_CONNECTION, mesh.member(0));
+      assertThat(brokenOff.map(WireMessage::status)).isNotEqualTo(Optional.of(503));
+      announceSoundUpstream();
+    }
+  }
+
   @ParameterizedTest
   @EnumSource(Caller.class)
   void shouldDeliverWholeAnswerInEachFraming(Caller caller) throws IOException {
