Close the connection of a waiting call whose caller has gone

Cause: a cancelled call in the queue was reported as delivered, so that the connection to the daemon that had forwarded it was neither answered nor closed, and nothing read from it any more.

Evidence: QueuedCallDisconnectTest; before, the connection of the last of twelve calls stayed open.

Change: the connection is closed whenever the caller is gone.

Result: QueuedCallDisconnectTest passes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -172,6 +172,11 @@
     @Override
     public void ended(AttemptResult result) {
       span.end(result.outcome());
+      if (result.fault() == AttemptResult.Fault.CALLER_GONE) {
+        // Nothing reads from the connection of a call that waited, so its end would go unnoticed.
+        ResponseFraming.abort(exchange);
+        return;
+      }
       if (result.isDelivered()) {
         return;
       }
