Close the connection after a request of ambiguous length

Bytes behind a request with Transfer-Encoding: chunked, identity ran as a request of their own (smuggling, the review).

Cause: it is answered 400, and the connection went on where its body was taken to end.

Change: the connection closes after each 400 of the daemon.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -155,6 +155,10 @@
                 .with("host", hostOf(exchange).orElse(""))
                 .with("path", exchange.getRequestPath())
                 .with("configuration", dependencies.state().configuration().version()));
+    if (reason == RefusalReason.BAD_REQUEST) {
+      // Where the body of such a request ends is uncertain, and so is where the next one begins.
+      exchange.setPersistent(false);
+    }
     Duration retryAfter = RetryAfterDelay.of(statedWait(exchange), dependencies.random().get());
     dependencies.responses().sendNotRun(exchange, identifier, reason, retryAfter);
   }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallPathTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallPathTest.java
@@ -238,6 +238,37 @@
     assertThat(upstream.requests()).isEqualTo(before);
   }
 
+  /** Guards against a request that is hidden in the body of one whose length is ambiguous. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Transfer-Encoding: chunked, identity\r\n\r\n",
+        "Transfer-Encoding: identity, chunked\r\n\r\n",
+        "Transfer-Encoding: identity\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+      })
+  void shouldNotRunRequestBehindOneOfAmbiguousLength(String framing) throws IOException {
+    int before = upstream.requests();
+    String hidden = "GET /read/hidden HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    String responses =
+        sendRawToEnd("POST /write HTTP/1.1\r\nHost: x\r\n" + framing + "0\r\n\r\n" + hidden);
+
+    assertThat(responses).startsWith("HTTP/1.1 400");
+    assertThat(upstream.requests()).isEqualTo(before);
+  }
+
+  /** Returns all that is received until the daemon closes the connection. */
+  private static String sendRawToEnd(String request) throws IOException {
+    String[] address = entry(0).split(":", 2);
+    try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+      socket.setSoTimeout((int) TIMEOUT.toMillis());
+      SocketUpstream.write(socket, request);
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
   @Test
   void shouldRefuseBodyWhenItExceedsTheLimit() throws IOException {
     int before = upstream.requests();
