Close all idle connections to an address that does not answer

Cause: a request without an answer closed its own connection and left the idle ones to the next requests.

Evidence: HttpClientSilentConnectionTest; before, the request after the one without an answer got none either.

Change: all idle connections to the address are closed.

Result: HttpClientSilentConnectionTest passes.

--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
@@ -97,6 +97,7 @@
       return Either.right(response);
     } catch (IOException e) {
       IoUtils.safeClose(connection.connection());
+      closeIdle(address);
       return Either.left(new LinkError.NoAnswer(address, String.valueOf(e.getMessage())));
     }
   }
@@ -118,6 +119,19 @@
     return await(opened, deadline);
   }
 
+  /**
+   * Closes the idle connections to an address after a request without an answer. What silenced its
+   * connection may have silenced these, which are as old, while new ones work.
+   */
+  private void closeIdle(String address) {
+    Deque<BoundedConnection> idleConnections = idle.get(address);
+    BoundedConnection pooled = idleConnections.pollFirst();
+    while (pooled != null) {
+      IoUtils.safeClose(pooled.connection());
+      pooled = idleConnections.pollFirst();
+    }
+  }
+
   private void returnToPool(String address, BoundedConnection connection) {
     Deque<BoundedConnection> idleConnections = idle.get(address);
     if (connection.connection().isOpen() && idleConnections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
