--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/RepeatedAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/RepeatedAnswerTest.java
@@ -150,6 +150,7 @@
       mesh.apply(OWN_CONFIGURATION);
       mesh.announce(mesh.member(0), "u0", "ledger", "v1", upstream.address());
       mesh.awaitUpstreams(mesh.member(0), "ledger v1 abdali", 1);
+      mesh.await(() -> isReady(mesh));
 
       for (int call = 1; call <= CALLS; call++) {
         HttpResponse response =
@@ -162,6 +163,10 @@
     }
   }
 
+  private static boolean isReady(TestMesh mesh) {
+    return mesh.send(mesh.member(0).operators(), HttpRequest.of("GET", "/readyz")).status() == 200;
+  }
+
   /** Lets each call last longer than a copy of the answer before it takes. */
   private static SocketUpstream.Script delayed(SocketUpstream.Script script) {
     return (request, socket) -> {
