Let a bounded connection close and abandon itself

A connection of the pool was reached by connection().connection(). BoundedConnection now has what its users need: whether it is open, its close, its thread, and abandon(), which was ConnectionPool.discard. No behaviour changes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -157,7 +157,7 @@
               public void sinkFailed(IOException cause) {
                 // The upstream may have responded early: its response, or the closed connection,
                 // ends the attempt.
-                IoUtils.safeClose(isEnded ? null : connection.connection());
+                IoUtils.safeClose(isEnded ? null : connection);
               }
             });
   }
@@ -193,7 +193,7 @@
     if (isEchoed && isEmpty && isRequestSent && isAtEnd(answeredExchange.getResponseChannel())) {
       pool.release(attempt.address(), connection, maximumIdleTime);
     } else {
-      pool.discard(connection);
+      connection.abandon();
     }
   }
 
@@ -249,7 +249,7 @@
     if (!isEnded && isRequestSent && isEchoed) {
       pool.release(attempt.address(), connection, maximumIdleTime);
     } else if (!isEnded) {
-      pool.discard(connection);
+      connection.abandon();
     }
     end(new AttemptResult(AttemptOutcome.ANSWERED, true, Fault.NONE, status));
   }
@@ -288,7 +288,7 @@
     end(
         () -> {
           if (connection != null) {
-            pool.discard(connection);
+            connection.abandon();
           }
           attempt.listener().ended(result);
         });
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -4,7 +4,6 @@
 
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.HttpString;
@@ -119,7 +118,7 @@
           public void completed(BoundedConnection connection) {
             // Runs on the pool's thread. So does the close listener, even when that thread
             // shuts down.
-            connection.connection().addCloseListener(closed -> target.openCount--);
+            connection.onClose(() -> target.openCount--);
             callback.completed(connection);
           }
 
@@ -139,7 +138,7 @@
       if (idle.usableUntil().isAfter(now) && idle.connection().isSilent()) {
         return idle.connection();
       }
-      IoUtils.safeClose(idle.connection().connection());
+      IoUtils.safeClose(idle.connection());
     }
     return null;
   }
@@ -167,8 +166,8 @@
    */
   void release(String address, BoundedConnection connection, Duration maximumIdleTime) {
     Target target = targets.get(address);
-    if (!connection.connection().isOpen() || target == null) {
-      IoUtils.safeClose(connection.connection());
+    if (!connection.isOpen() || target == null) {
+      IoUtils.safeClose(connection);
       return;
     }
     Instant now = clock.instant();
@@ -179,20 +178,6 @@
     }
   }
 
-  /**
-   * Closes a connection after an incomplete exchange, so that the other side detects it
-   * immediately. Undertow's own close sends nothing while a response is pending, and does not
-   * happen at all for a response that was to end with its connection and broke off.
-   */
-  void discard(BoundedConnection discarded) {
-    ClientConnection connection = discarded.connection();
-    try {
-      IoUtils.safeClose(connection.performUpgrade());
-    } catch (IOException e) {
-      IoUtils.safeClose(connection);
-    }
-  }
-
   private void closeLongestIdle() {
     Target longestIdle = null;
     for (Target target : targets.values()) {
@@ -207,7 +192,7 @@
       longestIdle = isLongerIdle ? target : longestIdle;
     }
     if (longestIdle != null) {
-      IoUtils.safeClose(longestIdle.idleConnections.pollLast().connection().connection());
+      IoUtils.safeClose(longestIdle.idleConnections.pollLast().connection());
       idleCount--;
     }
     removeUnusedTargets();
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
@@ -6,15 +6,18 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 
 /**
  * A client connection on which the head of each response is bounded. Confined to the input/output
  * thread of the connection.
  */
-public final class BoundedConnection {
+public final class BoundedConnection implements Closeable {
   private final ClientConnection connection;
   private final StreamConnection stream;
   private final BoundedHeadConduit heads;
@@ -26,10 +29,7 @@
     this.heads = requireNonNull(heads, "heads is null");
   }
 
-  /** Returns the connection, on which requests must not be sent directly. */
-  public ClientConnection connection() {
-    return connection;
-  }
+  // -- exchanges
 
   /**
    * Sends the head of a request.
@@ -47,6 +47,17 @@
     heads.completeHead();
   }
 
+  // -- queries
+
+  public boolean isOpen() {
+    return connection.isOpen();
+  }
+
+  /** Returns the thread to which the connection is confined. */
+  public XnioIoThread thread() {
+    return connection.getIoThread();
+  }
+
   /**
    * Returns whether nothing has arrived on this idle connection, so that the next response on it
    * belongs to the next request. The end of the connection counts as an arrival.
@@ -58,4 +69,29 @@
       return false;
     }
   }
+
+  // -- ending
+
+  /** Sets a task that runs when the connection has been closed. */
+  public void onClose(Runnable task) {
+    connection.addCloseListener(closed -> task.run());
+  }
+
+  @Override
+  public void close() throws IOException {
+    connection.close();
+  }
+
+  /**
+   * Closes the connection after an incomplete exchange, so that the other side detects it
+   * immediately. The close of the HTTP client sends nothing while a response is pending, and does
+   * not happen at all for a response that was to end with its connection and broke off.
+   */
+  public void abandon() {
+    try {
+      IoUtils.safeClose(connection.performUpgrade());
+    } catch (IOException e) {
+      IoUtils.safeClose(connection);
+    }
+  }
 }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
@@ -96,7 +96,7 @@
       returnToPool(address, connection);
       return Either.right(response);
     } catch (IOException e) {
-      IoUtils.safeClose(connection.connection());
+      IoUtils.safeClose(connection);
       closeIdle(address);
       return Either.left(new LinkError.NoAnswer(address, String.valueOf(e.getMessage())));
     }
@@ -106,7 +106,7 @@
     Deque<BoundedConnection> idleConnections =
         idle.computeIfAbsent(address, unused -> new ConcurrentLinkedDeque<>());
     BoundedConnection pooled = idleConnections.pollFirst();
-    while (pooled != null && !pooled.connection().isOpen()) {
+    while (pooled != null && !pooled.isOpen()) {
       pooled = idleConnections.pollFirst();
     }
     if (pooled != null) {
@@ -127,17 +127,17 @@
     Deque<BoundedConnection> idleConnections = idle.get(address);
     BoundedConnection pooled = idleConnections.pollFirst();
     while (pooled != null) {
-      IoUtils.safeClose(pooled.connection());
+      IoUtils.safeClose(pooled);
       pooled = idleConnections.pollFirst();
     }
   }
 
   private void returnToPool(String address, BoundedConnection connection) {
     Deque<BoundedConnection> idleConnections = idle.get(address);
-    if (connection.connection().isOpen() && idleConnections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
+    if (connection.isOpen() && idleConnections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
       idleConnections.addFirst(connection);
     } else {
-      IoUtils.safeClose(connection.connection());
+      IoUtils.safeClose(connection);
     }
   }
 
@@ -154,8 +154,7 @@
     clientRequest.getRequestHeaders().put(Headers.CONTENT_LENGTH, request.bodyBytes().length);
     CompletableFuture<HttpResponse> response = new CompletableFuture<>();
     connection
-        .connection()
-        .getIoThread()
+        .thread()
         .execute(
             () ->
                 connection.send(
@@ -169,7 +168,7 @@
       @Override
       public void completed(BoundedConnection connection) {
         if (!future.complete(connection)) {
-          IoUtils.safeClose(connection.connection());
+          IoUtils.safeClose(connection);
         }
       }
 
@@ -197,10 +196,7 @@
 
   @Override
   public void close() {
-    idle.values().stream()
-        .flatMap(Deque::stream)
-        .map(BoundedConnection::connection)
-        .forEach(IoUtils::safeClose);
+    idle.values().stream().flatMap(Deque::stream).forEach(IoUtils::safeClose);
     worker.shutdownNow();
   }
 }
