Keep as many departures as can wait to be stored

Found in the reading of the whole change: with more than 16 departures waiting beside one daemon, the row kept the last 16 only, so that some were never found stored; none was acknowledged, and the register wrote without a pause.

Change: the row keeps as many as can wait, 64.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DepartureRegister.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DepartureRegister.java
@@ -31,9 +31,6 @@
  * <p>There is one row for each daemon. Only its daemon writes it.
  */
 public final class DepartureRegister implements DepartureStore {
-  /** More than the upstreams that leave beside one daemon within the delay of a heartbeat. */
-  static final int MAXIMUM_STORED = 16;
-
   private static final String KEY_PREFIX = "departed/";
 
   /**
@@ -46,6 +43,13 @@
   private static final int MAXIMUM_PAUSE_DOUBLINGS = 2;
   private static final long QUEUE_WAIT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
   private static final int QUEUE_CAPACITY = 64;
+
+  /**
+   * More than the upstreams that leave beside one daemon within the delay of a heartbeat, and at
+   * least as many as wait to be stored.
+   */
+  private static final int MAXIMUM_STORED = QUEUE_CAPACITY;
+
   private static final long ABSENT = 0;
 
   private final TransactionalTable table;
