--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DepartureRegister.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DepartureRegister.java
@@ -7,9 +7,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -17,6 +15,7 @@
 import org.parsleycart.daemon.call.LocalUpstreams;
 import org.parsleycart.daemon.state.WorkerHealth;
 import org.parsleycart.decision.membership.DepartedProcess;
+import org.parsleycart.decision.membership.DepartedUpstreams;
 import org.parsleycart.link.BoundedQueue;
 import org.parsleycart.store.PlatformError;
 import org.parsleycart.store.Row;
@@ -42,13 +41,9 @@
   private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
   private static final int MAXIMUM_PAUSE_DOUBLINGS = 2;
   private static final long QUEUE_WAIT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
-  private static final int QUEUE_CAPACITY = 64;
 
-  /**
-   * More than the upstreams that leave beside one daemon within the delay of a heartbeat, and at
-   * least as many as wait to be stored.
-   */
-  private static final int MAXIMUM_STORED = QUEUE_CAPACITY;
+  /** No more departures wait than the row can hold. */
+  private static final int QUEUE_CAPACITY = DepartedUpstreams.MAXIMUM_REMEMBERED;
 
   private static final long ABSENT = 0;
 
@@ -58,13 +53,13 @@
   private final InstantSource clock;
   private final BoundedQueue<Request> requests = new BoundedQueue<>(QUEUE_CAPACITY);
   private final WorkerLoop loop;
-  private final Map<String, DepartedProcess> stored = new LinkedHashMap<>();
   private final List<Request> pending = new ArrayList<>();
   private final Instant restoreDeadline;
 
   /** The revision of the row, {@link #ABSENT} without a row, empty until it is read again. */
   private Optional<Long> revision = Optional.empty();
 
+  private DepartedUpstreams stored = new DepartedUpstreams();
   private int failures;
   private boolean isRestored;
   private boolean hasEndedWait;
@@ -154,7 +149,7 @@
         .peek(
             read -> {
               isRestored = true;
-              upstreams.restore(List.copyOf(stored.values()));
+              upstreams.restore(stored.all());
             });
   }
 
@@ -163,10 +158,10 @@
         .read(key)
         .map(
             row -> {
-              stored.clear();
+              stored = new DepartedUpstreams();
               row.stream()
                   .flatMap(existing -> DepartureRow.parse(existing).stream())
-                  .forEach(this::keep);
+                  .forEach(stored::record);
               revision = Optional.of(row.map(Row::revision).orElse(ABSENT));
               return true;
             });
@@ -183,7 +178,7 @@
   // -- writing
 
   private Either<PlatformError, Boolean> storePending() {
-    if (pending.stream().map(Request::departed).allMatch(this::isStored)) {
+    if (pending.stream().map(Request::departed).allMatch(stored::hasLeft)) {
       pending.stream().map(Request::listener).forEach(Runnable::run);
       pending.clear();
       return Either.right(true);
@@ -194,8 +189,8 @@
 
   /** Writes the row; returns false if it had changed, so that it must be read again. */
   private Either<PlatformError, Boolean> writePending() {
-    pending.stream().map(Request::departed).forEach(this::keep);
-    byte[] value = DepartureRow.format(List.copyOf(stored.values()));
+    pending.stream().map(Request::departed).forEach(stored::record);
+    byte[] value = DepartureRow.format(stored.all());
     long expected = revision.orElse(ABSENT);
     Either<PlatformError, Boolean> written =
         expected == ABSENT
@@ -205,24 +200,8 @@
     // taken effect.
     revision = Optional.empty();
     if (!written.getOrElse(false)) {
-      stored.clear();
+      stored = new DepartedUpstreams();
     }
     return written;
   }
-
-  private boolean isStored(DepartedProcess departed) {
-    DepartedProcess existing = stored.get(departed.identifier());
-    return existing != null && existing.startedAt() >= departed.startedAt();
-  }
-
-  /** Keeps the later process of each upstream, and the upstreams that left last. */
-  private void keep(DepartedProcess departed) {
-    Optional<DepartedProcess> existing = Optional.ofNullable(stored.remove(departed.identifier()));
-    boolean isLater =
-        existing.filter(before -> before.startedAt() >= departed.startedAt()).isEmpty();
-    stored.put(departed.identifier(), isLater ? departed : existing.get());
-    if (stored.size() > MAXIMUM_STORED) {
-      stored.remove(stored.keySet().iterator().next());
-    }
-  }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DepartedUpstreams.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/DepartedUpstreams.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -12,7 +13,7 @@
  */
 public final class DepartedUpstreams {
   /** More upstreams than run beside one daemon in a day. The oldest entry is evicted first. */
-  private static final int MAXIMUM_REMEMBERED = 64;
+  public static final int MAXIMUM_REMEMBERED = 64;
 
   private final Map<String, Long> departedProcessStarts = new LinkedHashMap<>();
 
@@ -33,8 +34,20 @@
 
   /** Returns whether the heartbeat comes from a process that has left. */
   public boolean hasLeft(UpstreamHeartbeat heartbeat) {
-    requireNonNull(heartbeat, "heartbeat is null");
-    Long departedStart = departedProcessStarts.get(heartbeat.upstream().identifier());
-    return departedStart != null && heartbeat.startedAt() <= departedStart;
+    return hasLeft(DepartedProcess.of(heartbeat));
+  }
+
+  /** Returns whether the process, or a later one of the same upstream, has left. */
+  public boolean hasLeft(DepartedProcess process) {
+    requireNonNull(process, "process is null");
+    Long departedStart = departedProcessStarts.get(process.identifier());
+    return departedStart != null && process.startedAt() <= departedStart;
+  }
+
+  /** Returns the last process of each upstream that has left, in the order of departure. */
+  public List<DepartedProcess> all() {
+    return departedProcessStarts.entrySet().stream()
+        .map(entry -> new DepartedProcess(entry.getKey(), entry.getValue()))
+        .toList();
   }
 }
