--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -90,7 +90,8 @@
    * @param address the address as {@code host:port}
    */
   void acquire(String address, ClientCallback<BoundedConnection> callback) {
-    if (Addresses.parseTarget(address).isEmpty()) {
+    boolean isKnown = targets.containsKey(address);
+    if (!isKnown && Addresses.parseTarget(address).isEmpty()) {
       callback.failed(new IOException("\"" + address + "\" is not an IP address and port"));
       return;
     }
