--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
@@ -100,7 +100,10 @@
     if (request.afterVersion() >= current.configuration().version()) {
       return new ConfigurationAnswer(headOf(current), List.of(), Optional.empty());
     }
-    return current.answers().size() < MAXIMUM_KEPT_ANSWERS
+    boolean isKept =
+        current.answers().size() < MAXIMUM_KEPT_ANSWERS
+            || current.answers().containsKey(request.afterVersion());
+    return isKept
         ? current
             .answers()
             .computeIfAbsent(request.afterVersion(), after -> missingAfter(after, current))
