--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
@@ -4,7 +4,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import io.undertow.util.Protocols;
 import io.undertow.util.StatusCodes;
@@ -18,24 +17,23 @@
  * tell it from a complete one.
  */
 final class ResponseFraming {
-  private static final HttpString CHUNKED = new HttpString("chunked");
-  private static final int FIRST_FINAL_STATUS = 200;
-
   private ResponseFraming() {}
 
   // -- queries
 
   /** Returns whether the response has no body, or has headers that show where its body ends. */
   static boolean isFramed(HttpServerExchange exchange, ClientResponse response) {
-    HeaderMap headers = response.getResponseHeaders();
     return !hasBody(exchange, response.getResponseCode())
-        || headers.contains(Headers.CONTENT_LENGTH)
-        || headers.contains(Headers.TRANSFER_ENCODING);
+        || showEndOfBody(response.getResponseHeaders());
+  }
+
+  private static boolean showEndOfBody(HeaderMap headers) {
+    return headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING);
   }
 
   private static boolean hasBody(HttpServerExchange exchange, int status) {
     return !exchange.getRequestMethod().equals(Methods.HEAD)
-        && status >= FIRST_FINAL_STATUS
+        && status >= StatusCodes.OK
         && status != StatusCodes.NO_CONTENT
         && status != StatusCodes.NOT_MODIFIED;
   }
@@ -55,11 +53,10 @@
       // Chunks override a length (RFC 9112, section 6.3), which may be shorter than the body.
       headers.remove(Headers.CONTENT_LENGTH);
     }
-    boolean isOfKnownLength = headers.contains(Headers.CONTENT_LENGTH);
-    if (!isOfKnownLength
+    if (!headers.contains(Headers.CONTENT_LENGTH)
         && hasBody(exchange, exchange.getStatusCode())
         && exchange.getProtocol().equals(Protocols.HTTP_1_1)) {
-      headers.put(Headers.TRANSFER_ENCODING, CHUNKED.toString());
+      headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
     }
   }
 
@@ -68,7 +65,7 @@
    * end of the connection would complete the response, the connection is reset.
    */
   static void abort(HttpServerExchange exchange) {
-    if (exchange.isResponseStarted() && endsWithConnection(exchange)) {
+    if (exchange.isResponseStarted() && !showEndOfBody(exchange.getResponseHeaders())) {
       try {
         exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
       } catch (IOException e) {
@@ -77,10 +74,4 @@
     }
     IoUtils.safeClose(exchange.getConnection());
   }
-
-  private static boolean endsWithConnection(HttpServerExchange exchange) {
-    HeaderMap headers = exchange.getResponseHeaders();
-    return !headers.contains(Headers.CONTENT_LENGTH)
-        && !headers.contains(Headers.TRANSFER_ENCODING);
-  }
 }
