--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -98,6 +98,8 @@
                     upstream,
                     routeName,
                     contract.get(),
+                    contract.get().queueRank(),
+                    Optional.empty(),
                     deadline(exchange, arrivedAt),
                     span.traceParent(),
                     Optional.empty(),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -100,10 +100,11 @@
     AdmissionRequest<LocalCall> request =
         new AdmissionRequest<>(
             call,
-            call.contract().queueRank(),
+            call.queueRank(),
             call.route(),
             call.contract().lateAt(call.deadline()),
-            call.deadline());
+            call.deadline(),
+            call.organisation());
     // The first heartbeat may precede the configuration that limits the calls of a cold upstream.
     upstream.admission().setColdCallsPerSecond(coldCallsPerSecond(upstream));
     call.cancellation().onCancel(() -> cancelWaiting(upstream, call));
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -125,6 +125,8 @@
                 candidate.identifier(),
                 request.route().name(),
                 request.contract(),
+                request.contract().queueRank(),
+                Optional.empty(),
                 request.deadline(),
                 span.traceParent(),
                 dependencies.state().callerService(),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
@@ -17,6 +17,8 @@
  * @param upstream the identifier of the upstream
  * @param route the name of the route
  * @param contract the contract of the route
+ * @param queueRank the rank in the queue of the upstream; smaller ranks run first
+ * @param organisation the organisation of the caller, empty if it has none
  * @param deadline time after which a response is useless to the caller
  * @param traceParent the trace context for the upstream, empty if there is none
  * @param callerService the service beside the entry; empty if another daemon is the entry
@@ -30,6 +32,8 @@
     String upstream,
     String route,
     Contract contract,
+    int queueRank,
+    Optional<String> organisation,
     Instant deadline,
     String traceParent,
     Optional<String> callerService,
@@ -43,6 +47,7 @@
     requireNonNull(upstream, "upstream is null");
     requireNonNull(route, "route is null");
     requireNonNull(contract, "contract is null");
+    requireNonNull(organisation, "organisation is null");
     requireNonNull(deadline, "deadline is null");
     requireNonNull(traceParent, "traceParent is null");
     requireNonNull(callerService, "callerService is null");
@@ -112,6 +117,8 @@
         upstream,
         route,
         contract,
+        queueRank,
+        organisation,
         deadline,
         traceParent,
         callerService,
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionRequest.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionRequest.java
@@ -4,6 +4,7 @@
 
 import java.time.Instant;
 import java.util.Comparator;
+import java.util.Optional;
 import org.parsleycart.model.RequestKind;
 
 /**
@@ -13,10 +14,16 @@
  * @param priority the priority in the queue; smaller values run first
  * @param softDeadline when an answer becomes late; not after the deadline
  * @param deadline when an answer becomes useless
+ * @param organisation the organisation of the caller, empty if it has none
  * @param <C> the type of the object that represents the call
  */
 public record AdmissionRequest<C>(
-    C call, int priority, String route, Instant softDeadline, Instant deadline) {
+    C call,
+    int priority,
+    String route,
+    Instant softDeadline,
+    Instant deadline,
+    Optional<String> organisation) {
 
   // -- construction
 
@@ -25,6 +32,13 @@
     requireNonNull(route, "route is null");
     requireNonNull(softDeadline, "softDeadline is null");
     requireNonNull(deadline, "deadline is null");
+    requireNonNull(organisation, "organisation is null");
+  }
+
+  /** Creates a request of a caller without an organisation. */
+  public AdmissionRequest(
+      C call, int priority, String route, Instant softDeadline, Instant deadline) {
+    this(call, priority, route, softDeadline, deadline, Optional.empty());
   }
 
   /** Creates a request with the priority of its kind and a soft deadline equal to its deadline. */
