Take turns between organisations in the queue beside an upstream

The queue ran requests by rank and deadline only, so an organisation that sent ten times as much, or had shorter deadlines, took the slots and the places in the queue; a small one was also refused up front for the expected wait behind the queue of the loud one.

FairQueue runs ranks first, organisations in turn by start-time fair queuing, and an organisation's requests by deadline. The request dropped on overflow is that of the organisation with the most in the lowest rank, and the expected wait counts the requests that run first in the fair order.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -6,17 +6,16 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 
 /**
  * Controls the admission of calls to one upstream. It runs as many calls at once as the concurrency
- * limit allows, queues a bounded number by priority and deadline, and refuses the rest immediately.
+ * limit allows, queues a bounded number by priority, by organisation in turn and by deadline, and
+ * refuses the rest immediately.
  *
  * <p>Thread-safe.
  *
@@ -49,8 +48,7 @@
   private final AdmissionSettings settings;
   private final InstantSource clock;
   private final ConcurrencyLimit limit;
-  private final PriorityQueue<AdmissionRequest<C>> queue =
-      new PriorityQueue<>(AdmissionRequest.queueOrder());
+  private final FairQueue<C> queue = new FairQueue<>();
   private Optional<RefusalReason> closedReason = Optional.empty();
   private final ColdStartRateLimiter coldStartLimiter;
   private final StatedRateLimiter statedRateLimiter;
@@ -126,9 +124,7 @@
     queue.add(request);
     List<AdmissionRequest<C>> admitted = admitQueued(refusals);
     if (queue.size() > settings.queueLength()) {
-      AdmissionRequest<C> last = queue.stream().max(AdmissionRequest.queueOrder()).orElseThrow();
-      queue.remove(last);
-      refusals.add(new AdmissionDecision.Refusal<>(last, RefusalReason.QUEUE_FULL));
+      refusals.add(new AdmissionDecision.Refusal<>(queue.removeLast(), RefusalReason.QUEUE_FULL));
     }
     return new AdmissionDecision<>(admitted, refusals);
   }
@@ -241,9 +237,10 @@
   public synchronized AdmissionDecision<C> refuseExpired() {
     List<AdmissionDecision.Refusal<C>> refusals = new ArrayList<>();
     Instant now = clock.instant();
+    int otherRequests = queue.size() - 1;
     queue.removeIf(
         request -> {
-          Optional<RefusalReason> lateReason = lateReason(request, now, queue.size() - 1);
+          Optional<RefusalReason> lateReason = lateReason(request, now, otherRequests);
           lateReason.ifPresent(
               reason -> refusals.add(new AdmissionDecision.Refusal<>(request, reason)));
           return lateReason.isPresent();
@@ -289,15 +286,16 @@
     List<AdmissionRequest<C>> admitted = new ArrayList<>();
     Instant now = clock.instant();
     while (running < maximumRunning() && !queue.isEmpty() && coldStartLimiter.isStartAllowed(now)) {
+      AdmissionRequest<C> next = queue.poll().orElseThrow();
       Optional<RefusalReason> refusalReason =
           statedRateLimiter.isStartAllowed(now)
-              ? lateReason(queue.peek(), now, queue.size() - 1)
+              ? lateReason(next, now, queue.size())
               : Optional.of(RefusalReason.RATE_LIMITED);
-      AdmissionRequest<C> next = queue.poll();
       if (refusalReason.isPresent()) {
         refusals.add(new AdmissionDecision.Refusal<>(next, refusalReason.get()));
       } else {
         running++;
+        queue.recordStart(next);
         coldStartLimiter.recordStart(now);
         statedRateLimiter.recordStart(now);
         lastStartByRoute.put(next.route(), now);
@@ -314,16 +312,18 @@
   }
 
   /**
-   * Returns how long the queued requests ahead of this one keep all slots busy, at the usual
-   * latency of the route of this one.
+   * Returns how long the queued requests that run before this one keep all slots busy, at the usual
+   * latency of the route of this one. The long queue of one organisation does not delay the first
+   * requests of another, so it does not count against them.
    */
   private Duration expectedWait(AdmissionRequest<C> request) {
     if (running < maximumRunning()) {
       return Duration.ZERO;
     }
-    Comparator<AdmissionRequest<C>> order = AdmissionRequest.queueOrder();
-    long ahead = queue.stream().filter(queued -> order.compare(queued, request) <= 0).count();
-    return limit.usualLatency(request.route()).multipliedBy(ahead).dividedBy(limit.current());
+    return limit
+        .usualLatency(request.route())
+        .multipliedBy(queue.countAhead(request))
+        .dividedBy(limit.current());
   }
 
   /**
@@ -393,7 +393,6 @@
 
   /** Returns the queued requests in the order in which they are to run. */
   synchronized List<AdmissionRequest<C>> queuedRequests() {
-    Comparator<AdmissionRequest<C>> order = AdmissionRequest.queueOrder();
-    return queue.stream().sorted(order).toList();
+    return queue.inOrder();
   }
 }
