Give nested calls their deadline as the end of their use

A nested call inherits the deadline of its call, so late in that call it counted as late on arrival, and its refusal failed a call that occupied a slot. Beside organisations, nested calls took turns with each of them. Change: calls with the shortest deadline of the configuration are late only at their deadline.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -102,7 +102,7 @@
             call,
             call.queueRank(),
             call.route(),
-            call.contract().lateAt(call.deadline()),
+            state.configuration().softDeadline(call.contract(), call.deadline()),
             call.deadline(),
             call.organisation());
     // The first heartbeat may precede the configuration that limits the calls of a cold upstream.
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/FairQueue.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/FairQueue.java
@@ -17,8 +17,11 @@
 
 /**
  * The queued requests of one upstream. Requests run by rank; within a rank, organisations take
- * turns by start-time fair queuing; the requests of one organisation run by deadline. Requests
- * without an organisation form one group, which takes turns like an organisation.
+ * turns by start-time fair queuing; the requests of one organisation run by deadline.
+ *
+ * <p>Requests without an organisation form one group, which is due in each round for as long as it
+ * has requests. These are the calls that upstreams make while they run calls of all organisations,
+ * whose slots stay occupied until they are answered.
  *
  * <p>Each request costs one unit of virtual time. The start tag of an organisation's first request
  * is then either the virtual time of the rank or one more, the latter if the organisation has been
@@ -69,7 +72,8 @@
     requireNonNull(request, "request is null");
     PriorityQueue<AdmissionRequest<C>> own =
         queuesByOrganisation.getOrDefault(request.organisation(), new PriorityQueue<>());
-    long round = firstRound(request) + countDueBefore(own, request);
+    long round =
+        request.organisation().isEmpty() ? 0 : firstRound(request) + countDueBefore(own, request);
     return queuesByOrganisation.values().stream()
         .mapToLong(queue -> countAhead(queue, request, round))
         .sum();
@@ -82,8 +86,11 @@
     long inHigherRanks =
         queue.stream().filter(queued -> queued.priority() < request.priority()).count();
     long roundsBefore = round - firstRound(request.priority(), organisation);
-    long inEarlierRounds =
-        Math.min(Math.max(0, roundsBefore), countInRank(queue, request.priority()));
+    long inRank = countInRank(queue, request.priority());
+    if (organisation.isEmpty()) {
+      return inHigherRanks + (roundsBefore > 0 ? inRank : countDueBefore(queue, request));
+    }
+    long inEarlierRounds = Math.min(Math.max(0, roundsBefore), inRank);
     boolean isAheadInRound =
         !organisation.equals(request.organisation())
             && roundsBefore >= 0
@@ -112,7 +119,8 @@
 
   /** Returns the round of an organisation's first request in a rank: 0 now, 1 after a turn. */
   private long firstRound(int rank, Optional<String> organisation) {
-    return servedByRank.getOrDefault(rank, Set.of()).contains(organisation) ? 1 : 0;
+    boolean isServed = servedByRank.getOrDefault(rank, Set.of()).contains(organisation);
+    return organisation.isPresent() && isServed ? 1 : 0;
   }
 
   /** Returns the queued requests in the order in which they are to run. */
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -4,6 +4,7 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -43,6 +44,7 @@
   private final Set<String> withdrawnZones;
   private final RolloutIndex rolloutIndex;
   private final Optional<Duration> shortestDeadline;
+  private final Optional<Duration> longestDeadline;
   private final CallerLimits callerLimits;
 
   /**
@@ -67,10 +69,11 @@
     this.routeIndex = RouteIndex.of(routes());
     this.withdrawnZones = findWithdrawnZones();
     this.rolloutIndex = RolloutIndex.of(this);
+    Collection<Contract> contracts = section(ResourceKind.CONTRACT, Contract.class);
     this.shortestDeadline =
-        section(ResourceKind.CONTRACT, Contract.class).stream()
-            .map(Contract::deadline)
-            .min(Comparator.naturalOrder());
+        contracts.stream().map(Contract::deadline).min(Comparator.naturalOrder());
+    this.longestDeadline =
+        contracts.stream().map(Contract::deadline).max(Comparator.naturalOrder());
     this.callerLimits =
         section(ResourceKind.CALLER_LIMITS, CallerLimits.class).stream()
             .findFirst()
@@ -270,6 +273,23 @@
     return shortestDeadline;
   }
 
+  /**
+   * Returns the instant from which the answer to a call is of little use.
+   *
+   * <p>Upstreams make the calls with the shortest deadline while they run other calls, which fail
+   * without the answer. It is useful until the deadline, whatever the latency objective of the
+   * nested call. If all contracts have the same deadline, none of them is for nested calls.
+   *
+   * @param contract the contract of the call
+   * @param deadline the deadline of the call
+   */
+  public Instant softDeadline(Contract contract, Instant deadline) {
+    requireNonNull(contract, "contract is null");
+    boolean isShortest = shortestDeadline.equals(Optional.of(contract.deadline()));
+    boolean isNested = isShortest && !longestDeadline.equals(shortestDeadline);
+    return isNested ? deadline : contract.lateAt(deadline);
+  }
+
   public Optional<Contract> contractOfRoute(String routeName) {
     return route(routeName).flatMap(route -> contract(route.contract()));
   }
