Add organisations and the digests of their keys to the model

Cause: callers are to be identified by keys of organisations, and routes may be public.

Keys in plain text are digested when a document is read. Configurations without organisations or public routes keep their bytes.

Measured: OrganisationTest, ConfigurationTest and RecordedSnapshotTest pass; the test of malformed keys failed first for a text in place of the list.

--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -44,6 +44,7 @@
   private final RolloutIndex rolloutIndex;
   private final Optional<Duration> shortestDeadline;
   private final CallerLimits callerLimits;
+  private final KeyIndex keyIndex;
 
   /**
    * An accepted change and the version that it produced.
@@ -75,6 +76,7 @@
         section(ResourceKind.CALLER_LIMITS, CallerLimits.class).stream()
             .findFirst()
             .orElseGet(CallerLimits::none);
+    this.keyIndex = KeyIndex.of(section(ResourceKind.ORGANISATION, Organisation.class));
   }
 
   /** Returns version 0, which contains no resources. */
@@ -292,6 +294,25 @@
     return callerLimits;
   }
 
+  /** Returns whether requests to routes that are not public need a key of an organisation. */
+  public boolean hasOrganisations() {
+    return !section(ResourceKind.ORGANISATION).isEmpty();
+  }
+
+  public Optional<Organisation> organisation(String name) {
+    return find(ResourceKind.ORGANISATION, name, Organisation.class);
+  }
+
+  /** Returns the organisation that has the key. */
+  public Optional<Organisation> organisationOfKey(String key) {
+    return KeyDigest.ofKey(key).flatMap(keyIndex::find);
+  }
+
+  /** Returns the name of an organisation, earlier by name, that has a key of the given one. */
+  Optional<String> earlierOwnerOfKeyOf(Organisation organisation) {
+    return keyIndex.earlierOwnerOfKeyOf(organisation);
+  }
+
   public Collection<Service> services() {
     return section(ResourceKind.SERVICE, Service.class);
   }
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Resource.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Resource.java
@@ -5,7 +5,14 @@
 
 /** A named resource of a configuration. */
 public sealed interface Resource
-    permits CallerLimits, AvailabilityZone, Contract, Rollout, Route, Service, Withdrawal {
+    permits CallerLimits,
+        AvailabilityZone,
+        Contract,
+        Organisation,
+        Rollout,
+        Route,
+        Service,
+        Withdrawal {
 
   /** Returns the name, unique among resources of one kind. */
   String name();
--- a/parsleycart-model/src/main/java/org/parsleycart/model/ResourceKind.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/ResourceKind.java
@@ -50,6 +50,12 @@
     Resource read(MappingReader reader) {
       return CallerLimits.from(reader);
     }
+  },
+  ORGANISATION("organisations") {
+    @Override
+    Resource read(MappingReader reader) {
+      return Organisation.from(reader);
+    }
   };
 
   private final String section;
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Route.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Route.java
@@ -16,6 +16,7 @@
  * @param destinations the services with their weights, at least one
  * @param contract the name of the contract that applies to the requests
  * @param daemons selects the daemons that serve this route by their labels
+ * @param isPublic whether requests need no key of an organisation
  */
 public record Route(
     String name,
@@ -23,10 +24,12 @@
     String pathPrefix,
     List<WeightedService> destinations,
     String contract,
-    Selector daemons)
+    Selector daemons,
+    boolean isPublic)
     implements Resource {
   private static final String SERVICE = "service";
   private static final String WEIGHTED_SERVICES = "weightedServices";
+  private static final String PUBLIC = "public";
 
   // -- construction
 
@@ -39,6 +42,17 @@
     requireNonNull(daemons, "daemons is null");
   }
 
+  /** Creates a route that is not public. */
+  public Route(
+      String name,
+      Optional<String> host,
+      String pathPrefix,
+      List<WeightedService> destinations,
+      String contract,
+      Selector daemons) {
+    this(name, host, pathPrefix, destinations, contract, daemons, false);
+  }
+
   /** Creates a route for any host to a single service. */
   public Route(String name, String pathPrefix, String service, String contract, Selector daemons) {
     this(
@@ -61,7 +75,8 @@
         prefix,
         readDestinations(reader),
         reader.requiredName("contract"),
-        Selector.from(reader, "daemons"));
+        Selector.from(reader, "daemons"),
+        reader.flag(PUBLIC).orElse(false));
   }
 
   private static List<WeightedService> readDestinations(MappingReader reader) {
@@ -117,7 +132,8 @@
           WEIGHTED_SERVICES,
           Document.sequence(destinations.stream().map(WeightedService::toDocument).toList()));
     }
-    return daemons.addTo(builder.with("contract", contract), "daemons").build();
+    daemons.addTo(builder.with("contract", contract), "daemons");
+    return isPublic ? builder.with(PUBLIC, true).build() : builder.build();
   }
 
   @Override
