Authenticate callers by the keys of organisations

Cause: where the configuration holds organisations, only callers with a known key may use routes that are not public, and upstreams need the true name of the organisation.

The entry authenticates each request by the configuration in force (401, or 503 when revocation is strict and the configuration is unconfirmed), removes the key and the caller's own organisation header from the request, and passes the name on in a header that the signature covers. Calls without an organisation keep their signature. The rank of an organisation goes before that of the contract at both daemons. With strict revocation daemons read the platform at half of the allowed age.

Measured: the new tests and AdmissionRefusalTest, CallEndTest and DaemonSettingsTest pass.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
@@ -43,6 +43,8 @@
  * @param envelopeCodec signs and verifies messages
  * @param counters counts control messages and their bytes
  * @param frameClient sends requests to other daemons
+ * @param clock the local clock
+ * @param freshness the age of the confirmation of the configuration
  * @param gossip runs the gossip protocol
  * @param peerSync pulls versions and member records from peers
  * @param table the table of the platform
@@ -58,6 +60,8 @@
     EnvelopeCodec envelopeCodec,
     ControlTrafficCounters counters,
     FrameClient frameClient,
+    InstantSource clock,
+    Freshness freshness,
     GossipWorker gossip,
     PeerSyncWorker peerSync,
     TransactionalTable table,
@@ -110,12 +114,12 @@
             clock,
             new Random());
     InForceSurvey survey = new InForceSurvey(state, frameClient);
-    ControlRequestHandler requestHandler =
-        new ControlRequestHandler(state, gossip, survey, localEvidence);
     return new ControlComponents(
         envelopeCodec,
         counters,
         frameClient,
+        clock,
+        freshness,
         gossip,
         peerSync,
         platform.services().table(),
@@ -127,13 +131,14 @@
             platformWorker,
             gossip::view,
             freshness,
+            settings.revocation(),
             () -> progress.isStalled(pullPlanner.behindSince(), clock.instant()),
             isWatcher,
             clock,
             new Random(),
             state.workers()),
         survey,
-        requestHandler);
+        new ControlRequestHandler(state, gossip, survey, localEvidence));
   }
 
   private static GossipWorker gossipWorker(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -3,10 +3,12 @@
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.concurrent.ThreadLocalRandom;
 import org.parsleycart.daemon.call.AdmissionHandler;
 import org.parsleycart.daemon.call.AdmissionService;
 import org.parsleycart.daemon.call.CallSigner;
+import org.parsleycart.daemon.call.CallerAuthentication;
 import org.parsleycart.daemon.call.CallsInProgress;
 import org.parsleycart.daemon.call.ConnectionPools;
 import org.parsleycart.daemon.call.EntryDependencies;
@@ -103,7 +105,7 @@
     AdmissionService admission = admission(state, upstreams, forwarder, dialect, telemetry, clock);
     EntryDependencies entryDependencies =
         entryDependencies(
-            settings, dialect, state, loads, admission, forwarder, signer, telemetry, clock);
+            settings, dialect, state, control, loads, admission, forwarder, signer, telemetry);
     CallsInProgress callsInProgress = new CallsInProgress();
     DepartureRegister departures = departures(settings, state, control, upstreams, clock);
     DaemonMetrics.register(
@@ -194,15 +196,18 @@
       DaemonSettings settings,
       Dialect dialect,
       MeshState state,
+      ControlComponents control,
       UpstreamLoadTable loads,
       AdmissionService admission,
       Forwarder forwarder,
       CallSigner signer,
-      Telemetry telemetry,
-      MonotonicClock clock) {
+      Telemetry telemetry) {
+    InstantSource clock = control.clock();
     return new EntryDependencies(
         state,
         settings.identifier(),
+        new CallerAuthentication(
+            dialect.headers(), control.freshness(), settings.revocation(), clock),
         loads,
         new UpstreamSelection(loads),
         new RetryPolicy(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -16,7 +16,9 @@
 import org.parsleycart.decision.AttemptOutcome;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
+import org.parsleycart.model.Organisation;
 import org.xnio.IoUtils;
 
 /** Handles calls that other daemons forward, and submits them for admission. */
@@ -70,8 +72,12 @@
     String upstream = header(exchange, CallHeaders.UPSTREAM);
     String routeName = header(exchange, CallHeaders.ROUTE);
     String signature = header(exchange, CallHeaders.SIGNATURE);
-    boolean hasValidSignature = signer.isValid(identifier, upstream, routeName, signature);
-    Optional<Contract> contract = state.configuration().contractOfRoute(routeName);
+    Optional<String> organisation =
+        Optional.ofNullable(exchange.getRequestHeaders().getFirst(CallHeaders.ORGANISATION));
+    boolean hasValidSignature =
+        signer.isValid(identifier, upstream, routeName, organisation, signature);
+    Configuration configuration = state.configuration();
+    Optional<Contract> contract = configuration.contractOfRoute(routeName);
     if (!hasValidSignature || contract.isEmpty()) {
       RefusalReason reason =
           hasValidSignature ? RefusalReason.OUTDATED_CONFIGURATION : RefusalReason.BAD_REQUEST;
@@ -98,8 +104,9 @@
                     upstream,
                     routeName,
                     contract.get(),
-                    contract.get().queueRank(),
-                    Optional.empty(),
+                    Organisation.queueRank(
+                        organisation.flatMap(configuration::organisation), contract.get()),
+                    organisation,
                     deadline(exchange, arrivedAt),
                     span.traceParent(),
                     Optional.empty(),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -86,6 +86,10 @@
    */
   void submit(LocalCall call) {
     requireNonNull(call, "call is null");
+    if (call.organisation().isPresent() || state.configuration().hasOrganisations()) {
+      // An entry of an earlier version or configuration may have forwarded them.
+      CallerCredentials.remove(call.exchange().getRequestHeaders(), dialect.headers());
+    }
     Optional<LocalUpstream> upstream = upstreams.find(call.upstream());
     Optional<RefusalReason> refusal = refusal(upstream);
     if (refusal.isPresent()) {
@@ -182,6 +186,7 @@
     CallHeaders.putTraceParent(headers, call.traceParent());
     headers.put(names.expectedInstance(), call.upstream());
     call.callerService().ifPresent(service -> headers.put(names.callerService(), service));
+    call.organisation().ifPresent(name -> headers.put(names.organisation(), name));
     long remaining = Duration.between(clock.instant(), call.deadline()).toMillis();
     headers.put(names.deadline(), Long.toString(Math.max(1, remaining)));
     call.cancellation()
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -18,6 +18,7 @@
   static final HttpString REQUEST_IDENTIFIER = new HttpString(PREFIX + "request-identifier");
   static final HttpString UPSTREAM = new HttpString(PREFIX + "upstream");
   static final HttpString ROUTE = new HttpString(PREFIX + "route");
+  static final HttpString ORGANISATION = new HttpString(PREFIX + "organisation");
   static final HttpString DEADLINE = new HttpString(PREFIX + "deadline-milliseconds");
   static final HttpString SIGNATURE = new HttpString(PREFIX + "signature");
   static final HttpString OUTCOME = new HttpString(PREFIX + "outcome");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -4,13 +4,10 @@
 
 import io.undertow.client.ClientResponse;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.parsleycart.daemon.call.AttemptResult.Fault;
@@ -125,8 +122,8 @@
                 candidate.identifier(),
                 request.route().name(),
                 request.contract(),
-                request.contract().queueRank(),
-                Optional.empty(),
+                request.queueRank(),
+                request.organisationName(),
                 request.deadline(),
                 span.traceParent(),
                 dependencies.state().callerService(),
@@ -135,20 +132,6 @@
   }
 
   private void sendToDaemon(RequestBody body, Candidate candidate, UpstreamLoad load) {
-    String routeName = request.route().name();
-    Map<HttpString, String> headers = new LinkedHashMap<>();
-    headers.put(CallHeaders.UPSTREAM, candidate.identifier());
-    headers.put(CallHeaders.ROUTE, routeName);
-    CallHeaders.putTraceParent(headers, span.traceParent());
-    headers.put(
-        CallHeaders.SIGNATURE,
-        dependencies.signer().sign(request.identifier(), candidate.identifier(), routeName));
-    headers.put(CallHeaders.DEADLINE, Long.toString(Math.max(0, remaining().toMillis())));
-    dependencies
-        .state()
-        .callerService()
-        .ifPresent(
-            service -> headers.put(dependencies.dialect().headers().callerService(), service));
     cancellation.onCancel(
         dependencies
             .forwarder()
@@ -159,7 +142,8 @@
                     candidate.callAddress(),
                     request.identifier(),
                     dependencies.daemonHop(),
-                    headers,
+                    DaemonCallHeaders.of(
+                        dependencies, request, candidate, span.traceParent(), remaining()),
                     request.deadline(),
                     new RemoteAttemptListener(body, load, candidate.zone()))));
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryDependencies.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryDependencies.java
@@ -20,6 +20,7 @@
  *
  * @param state the local view of the mesh
  * @param daemonIdentifier the identifier of this daemon
+ * @param authentication authenticates the requests of callers
  * @param loads the loads of upstreams as observed by this daemon
  * @param admission admits calls to upstreams beside this daemon
  * @param forwarder forwards calls to other daemons
@@ -35,6 +36,7 @@
 public record EntryDependencies(
     MeshState state,
     String daemonIdentifier,
+    CallerAuthentication authentication,
     UpstreamLoadTable loads,
     UpstreamSelection selection,
     RetryPolicy retries,
@@ -57,6 +59,7 @@
   public EntryDependencies {
     requireNonNull(state, "state is null");
     requireNonNull(daemonIdentifier, "daemonIdentifier is null");
+    requireNonNull(authentication, "authentication is null");
     requireNonNull(loads, "loads is null");
     requireNonNull(selection, "selection is null");
     requireNonNull(retries, "retries is null");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -5,6 +5,7 @@
 import io.opentelemetry.api.trace.SpanKind;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.parsleycart.decision.routing.DestinationSelection;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
+import org.parsleycart.model.Organisation;
 import org.parsleycart.model.Route;
 import org.parsleycart.model.Service;
 import org.parsleycart.model.document.Document;
@@ -57,10 +59,19 @@
             .flatMap(configuration::service);
     Optional<Contract> contract = route.flatMap(found -> configuration.contract(found.contract()));
     Optional<Instant> deadline = contract.map(found -> deadline(exchange, found, arrivedAt));
-    Optional<RefusalReason> refusal =
+    Either<RefusalReason, Optional<Organisation>> caller =
         invalidRequest(exchange, configuration)
             .or(() -> refusal(state, service, contract))
-            .or(() -> overload(readDelay, configuration, contract.get(), deadline.get(), now));
+            .map(Either::<RefusalReason, Optional<Organisation>>left)
+            .orElseGet(
+                () ->
+                    dependencies
+                        .authentication()
+                        .authenticate(exchange, configuration, route.get()));
+    Optional<RefusalReason> refusal =
+        caller.fold(
+            Optional::of,
+            accepted -> overload(readDelay, configuration, contract.get(), deadline.get(), now));
     if (refusal.isPresent()) {
       refuse(exchange, identifier, refusal.get(), arrivedAt);
       return;
@@ -73,6 +84,7 @@
             route.get(),
             contract.get(),
             service.get(),
+            caller.get(),
             arrivedAt,
             deadline.get());
     new EntryCall(dependencies, exchange, request, span).start();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/MeshResponses.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/MeshResponses.java
@@ -46,6 +46,9 @@
       exchange.getResponseHeaders().put(RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
     }
     int status = reason.statusCode();
+    if (status == StatusCodes.UNAUTHORIZED) {
+      exchange.getResponseHeaders().put(Headers.WWW_AUTHENTICATE, "Bearer");
+    }
     sendToCaller(exchange, requestIdentifier, AttemptOutcome.NOT_RUN, status, reason.toString());
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ParsleycartDialect.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ParsleycartDialect.java
@@ -24,7 +24,8 @@
           CallHeaders.DEADLINE,
           new HttpString(CallHeaders.PREFIX + "expected-upstream"),
           new HttpString(CallHeaders.PREFIX + "caller-service"),
-          new HttpString(CallHeaders.PREFIX + "not-run"));
+          new HttpString(CallHeaders.PREFIX + "not-run"),
+          CallHeaders.ORGANISATION);
 
   private static final HttpString CALLS_PER_SECOND =
       new HttpString(CallHeaders.PREFIX + "calls-per-second");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RoutedRequest.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RoutedRequest.java
@@ -4,8 +4,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
+import org.parsleycart.model.Organisation;
 import org.parsleycart.model.Route;
 import org.parsleycart.model.Service;
 import org.parsleycart.model.document.Document;
@@ -16,6 +18,7 @@
  * @param configuration the configuration in force when the request was received
  * @param contract the contract of the route
  * @param service the destination chosen among those of the route
+ * @param organisation the organisation of the caller, empty if it has none
  * @param deadline time after which a response is useless to the caller
  */
 record RoutedRequest(
@@ -24,6 +27,7 @@
     Route route,
     Contract contract,
     Service service,
+    Optional<Organisation> organisation,
     Instant arrivedAt,
     Instant deadline) {
 
@@ -33,10 +37,22 @@
     requireNonNull(route, "route is null");
     requireNonNull(contract, "contract is null");
     requireNonNull(service, "service is null");
+    requireNonNull(organisation, "organisation is null");
     requireNonNull(arrivedAt, "arrivedAt is null");
     requireNonNull(deadline, "deadline is null");
   }
 
+  // -- queries
+
+  Optional<String> organisationName() {
+    return organisation.map(Organisation::name);
+  }
+
+  /** Returns the rank in the queue of the upstream; smaller ranks run first. */
+  int queueRank() {
+    return Organisation.queueRank(organisation, contract);
+  }
+
   // -- conversion
 
   /**
@@ -45,13 +61,16 @@
    * @param duration time from the arrival of the request to its end
    */
   Document.MappingBuilder toLogFields(Duration duration) {
-    return Document.mapping()
-        .with("milliseconds", duration.toMillis())
-        .with("route", route.name())
-        .with("service", service.name())
-        .with("configuration", configuration.version())
-        .with("rank", contract.queueRank())
-        .with("objectiveMilliseconds", contract.latencyObjective().toMillis())
-        .with("deadlineMilliseconds", Duration.between(arrivedAt, deadline).toMillis());
+    Document.MappingBuilder fields =
+        Document.mapping()
+            .with("milliseconds", duration.toMillis())
+            .with("route", route.name())
+            .with("service", service.name())
+            .with("configuration", configuration.version())
+            .with("rank", queueRank())
+            .with("objectiveMilliseconds", contract.latencyObjective().toMillis())
+            .with("deadlineMilliseconds", Duration.between(arrivedAt, deadline).toMillis());
+    organisationName().ifPresent(name -> fields.with("organisation", name));
+    return fields;
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformFeedWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformFeedWorker.java
@@ -15,6 +15,7 @@
 import org.parsleycart.daemon.state.WorkerHealth;
 import org.parsleycart.decision.spreading.FeedReadPolicy;
 import org.parsleycart.decision.spreading.Freshness;
+import org.parsleycart.decision.spreading.RevocationPolicy;
 import org.parsleycart.store.ConfigurationAuthority;
 import org.parsleycart.store.PlatformError;
 import org.tinylog.Logger;
@@ -49,6 +50,7 @@
   private final PlatformWorker platformWorker;
   private final Supplier<MembershipView> members;
   private final Freshness freshness;
+  private final RevocationPolicy revocation;
   private final BooleanSupplier isStalled;
   private final AtomicBoolean isWatcher;
   private final InstantSource clock;
@@ -65,6 +67,7 @@
    * @param platformWorker receives the result of each read
    * @param members supplies the known members
    * @param freshness records confirmations and returns the age of the last one
+   * @param revocation states how old a confirmation may become
    * @param isStalled returns whether a peer holds a newer version and pulls make no progress
    * @param isWatcher set by this worker to whether this daemon is a watcher
    * @param random jitters the pauses, so that the reads of several daemons spread over time
@@ -75,6 +78,7 @@
       PlatformWorker platformWorker,
       Supplier<MembershipView> members,
       Freshness freshness,
+      RevocationPolicy revocation,
       BooleanSupplier isStalled,
       AtomicBoolean isWatcher,
       InstantSource clock,
@@ -84,6 +88,7 @@
     this.platformWorker = requireNonNull(platformWorker, "platformWorker is null");
     this.members = requireNonNull(members, "members is null");
     this.freshness = requireNonNull(freshness, "freshness is null");
+    this.revocation = requireNonNull(revocation, "revocation is null");
     this.isStalled = requireNonNull(isStalled, "isStalled is null");
     this.isWatcher = requireNonNull(isWatcher, "isWatcher is null");
     this.clock = requireNonNull(clock, "clock is null");
@@ -112,7 +117,7 @@
       updateRole(FeedReadPolicy.isWatcher(view.alive().toList(), view.self()));
     }
     if (isWatcher.get()) {
-      read(LONG_POLL_DURATION, MAXIMUM_WATCHER_PAUSE);
+      read(revocation.boundReadInterval(LONG_POLL_DURATION), MAXIMUM_WATCHER_PAUSE);
     } else if (isReadDue(view)) {
       read(Duration.ZERO, MAXIMUM_PAUSE);
     } else {
@@ -123,7 +128,7 @@
   private boolean isReadDue(MembershipView view) {
     Instant now = clock.instant();
     return FeedReadPolicy.isFallbackReadDue(
-        freshness.confirmationAge(now), isStalled.getAsBoolean(), view.size());
+        freshness.confirmationAge(now), isStalled.getAsBoolean(), view.size(), revocation);
   }
 
   private void updateRole(boolean watcherNow) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.parsleycart.decision.spreading.RevocationPolicy;
 import org.parsleycart.link.Addresses;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.MappingReader;
@@ -29,6 +30,7 @@
  * @param platformTimeout the timeout of each request to the platform
  * @param peerKeys the keys shared with the other daemons; messages are signed with the first
  * @param seeds the control addresses at which to look for peers first
+ * @param revocation how soon a revoked key must stop working
  * @param limits the limits on concurrent work, memory and retries
  * @param traces the export of spans
  */
@@ -43,9 +45,11 @@
     Duration platformTimeout,
     List<String> peerKeys,
     List<String> seeds,
+    RevocationPolicy revocation,
     DaemonLimits limits,
     TraceSettings traces) {
   private static final String EMBEDDED = "embedded";
+  private static final String PLATFORM_BOUNDS = "platformBounds";
   private static final Duration DEFAULT_PLATFORM_TIMEOUT = Duration.ofSeconds(1);
   private static final int MINIMUM_KEY_LENGTH = 16;
   private static final int MAXIMUM_KEYS = 2;
@@ -63,6 +67,7 @@
     requireNonNull(platformTimeout, "platformTimeout is null");
     peerKeys = List.copyOf(peerKeys);
     seeds = List.copyOf(seeds);
+    requireNonNull(revocation, "revocation is null");
     requireNonNull(limits, "limits is null");
     requireNonNull(traces, "traces is null");
   }
@@ -81,12 +86,14 @@
   private static Either<List<Problem>, DaemonSettings> from(Document document) {
     List<Problem> problems = new ArrayList<>();
     MappingReader reader = MappingReader.of(document, problems);
-    PlatformBounds bounds = PlatformBounds.from(reader.textItems("platformBounds"));
+    DialectName dialect =
+        reader.enumConstant("dialect", DialectName.class).orElse(DialectName.PARSLEYCART);
+    PlatformBounds bounds = boundsFrom(reader, dialect);
     DaemonSettings settings =
         new DaemonSettings(
             reader.requiredName("zone"),
             reader.texts("labels"),
-            reader.enumConstant("dialect", DialectName.class).orElse(DialectName.PARSLEYCART),
+            dialect,
             reader.text("upstreamService"),
             reader.textItems("zones"),
             ListenAddresses.from(section(reader, "addresses", problems)),
@@ -94,12 +101,30 @@
             reader.duration("platformTimeout").orElse(DEFAULT_PLATFORM_TIMEOUT),
             keysFrom(reader),
             seedsFrom(reader),
+            bounds.revocation(),
             DaemonLimits.from(section(reader, "limits", problems), bounds),
             TraceSettings.from(section(reader, "traces", problems)));
     reader.reportUnknownKeys();
     return problems.isEmpty() ? Either.right(settings) : Either.left(problems);
   }
 
+  private static PlatformBounds boundsFrom(MappingReader reader, DialectName dialect) {
+    List<String> assignments = reader.textItems(PLATFORM_BOUNDS);
+    PlatformBounds bounds = PlatformBounds.from(assignments);
+    PlatformBounds.malformed(assignments)
+        .forEach(
+            assignment ->
+                reader.report(
+                    PLATFORM_BOUNDS,
+                    "\"" + assignment + "\"",
+                    "true or false, or a whole number of milliseconds above 0"));
+    if (bounds.revocation().isStrict() && dialect != DialectName.PLATFORM) {
+      // Without the feed of the platform no version is ever confirmed as the newest.
+      reader.report(PLATFORM_BOUNDS, "strict revocation", "it with the dialect platform only");
+    }
+    return bounds;
+  }
+
   private static MappingReader section(MappingReader reader, String key, List<Problem> problems) {
     Document.Mapping emptySection = new Document.Mapping(reader.location().child(key, 0), Map.of());
     return reader.nested(key).orElseGet(() -> MappingReader.of(emptySection, problems));
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/AdmissionRefusalTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/AdmissionRefusalTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -53,7 +54,7 @@
             .header("X-Parsleycart-Route", route)
             .header("X-Parsleycart-Request-Identifier", "r1")
             .header("X-Parsleycart-Deadline-Milliseconds", "1000")
-            .header("X-Parsleycart-Signature", signer.sign("r1", "u0", route)));
+            .header("X-Parsleycart-Signature", signer.sign("r1", "u0", route, Optional.empty())));
   }
 
   private void postToOperators(String path) {
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallEndTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallEndTest.java
@@ -44,6 +44,7 @@
           ROUTE,
           CONTRACT,
           SERVICE,
+          Optional.empty(),
           Instant.EPOCH,
           Instant.EPOCH.plusSeconds(1));
 
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/QueuedCallDisconnectTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/QueuedCallDisconnectTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.parsleycart.daemon.TestMesh;
 import org.parsleycart.link.PeerKeys;
@@ -40,7 +41,7 @@
             + identifier
             + "\r\nX-Parsleycart-Upstream: u0\r\nX-Parsleycart-Route: read\r\n"
             + "X-Parsleycart-Deadline-Milliseconds: 60000\r\nX-Parsleycart-Signature: "
-            + signer.sign(identifier, "u0", "read")
+            + signer.sign(identifier, "u0", "read", Optional.empty())
             + "\r\n\r\n");
     return socket;
   }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/SocketUpstream.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/SocketUpstream.java
@@ -1,6 +1,8 @@
 package org.parsleycart.daemon.call;
 
 import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -16,6 +18,7 @@
   private final ServerSocket server;
   private final AtomicInteger requests = new AtomicInteger();
   private final AtomicInteger connections = new AtomicInteger();
+  private final ByteArrayOutputStream received = new ByteArrayOutputStream();
   private volatile Script script;
 
   /** Answers the requests of a connection. */
@@ -57,6 +60,16 @@
     return connections.get();
   }
 
+  /** Returns all bytes that have arrived on any connection, each as one character. */
+  String received() {
+    return received.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  /** Forgets the bytes that have arrived. */
+  void forgetReceived() {
+    received.reset();
+  }
+
   /** Writes text as bytes. */
   static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
@@ -86,7 +99,7 @@
   private void serve(Socket socket) {
     try (socket) {
       socket.setTcpNoDelay(true);
-      InputStream input = new BufferedInputStream(socket.getInputStream());
+      InputStream input = recording(new BufferedInputStream(socket.getInputStream()));
       boolean isKept = true;
       while (isKept) {
         WireMessage request = WireMessage.readRequest(input);
@@ -98,6 +111,27 @@
     }
   }
 
+  /** Returns a stream that records what is read from it. */
+  private InputStream recording(InputStream input) {
+    return new FilterInputStream(input) {
+      @Override
+      public int read() throws IOException {
+        int next = super.read();
+        if (next >= 0) {
+          received.write(next);
+        }
+        return next;
+      }
+
+      @Override
+      public int read(byte[] target, int offset, int length) throws IOException {
+        int count = super.read(target, offset, length);
+        received.write(target, offset, Math.max(0, count));
+        return count;
+      }
+    };
+  }
+
   @Override
   public void close() throws IOException {
     server.close();
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -30,7 +30,11 @@
   UNREACHABLE("unreachable", 503),
   BAD_REQUEST("bad-request", 400),
   TOO_LARGE("too-large", 413),
-  HEADERS_TOO_LARGE("headers-too-large", 431);
+  HEADERS_TOO_LARGE("headers-too-large", 431),
+  /** The route needs a key of an organisation, and the request has no known one. */
+  UNAUTHENTICATED("unauthenticated", 401),
+  /** The configuration may be older than the revocation of the key in the request. */
+  UNCONFIRMED_CONFIGURATION("unconfirmed-configuration", 503);
 
   private static final int SERVICE_UNAVAILABLE = 503;
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/FeedReadPolicy.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/FeedReadPolicy.java
@@ -58,13 +58,17 @@
    *     if never
    * @param isStalled whether a peer holds a newer version and pulls make no progress
    * @param fleetSize the number of daemons
+   * @param revocation may need confirmations more often
    */
   public static boolean isFallbackReadDue(
-      Optional<Duration> confirmationAge, boolean isStalled, int fleetSize) {
+      Optional<Duration> confirmationAge,
+      boolean isStalled,
+      int fleetSize,
+      RevocationPolicy revocation) {
     requireNonNull(confirmationAge, "confirmationAge is null");
+    Duration maximumAge = revocation.boundReadInterval(maximumConfirmationAge(fleetSize));
     boolean isUnconfirmed =
-        confirmationAge.isEmpty()
-            || confirmationAge.get().compareTo(maximumConfirmationAge(fleetSize)) > 0;
+        confirmationAge.isEmpty() || confirmationAge.get().compareTo(maximumAge) > 0;
     return isUnconfirmed || isStalled;
   }
 
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/FeedReadPolicyTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/FeedReadPolicyTest.java
@@ -17,6 +17,7 @@
 class FeedReadPolicyTest {
   private static final int ZONES = 4;
   private static final boolean NOT_STALLED = false;
+  private static final RevocationPolicy LENIENT = RevocationPolicy.lenient();
 
   private static List<MemberRecord> fleet(int size) {
     return IntStream.range(0, size)
@@ -77,27 +78,41 @@
   class IsFallbackReadDue {
     @Test
     void shouldReadWhenNothingWasEverConfirmed() {
-      assertThat(FeedReadPolicy.isFallbackReadDue(Optional.empty(), NOT_STALLED, 77)).isTrue();
+      assertThat(FeedReadPolicy.isFallbackReadDue(Optional.empty(), NOT_STALLED, 77, LENIENT))
+          .isTrue();
     }
 
     @Test
     void shouldReadOnlyWhenTheConfirmationExceedsItsMaximumAge() {
       Duration maximumAge = FeedReadPolicy.maximumConfirmationAge(77);
 
-      assertThat(FeedReadPolicy.isFallbackReadDue(Optional.of(maximumAge), NOT_STALLED, 77))
+      assertThat(
+              FeedReadPolicy.isFallbackReadDue(Optional.of(maximumAge), NOT_STALLED, 77, LENIENT))
           .isFalse();
       assertThat(
               FeedReadPolicy.isFallbackReadDue(
-                  Optional.of(maximumAge.plusMillis(1)), NOT_STALLED, 77))
+                  Optional.of(maximumAge.plusMillis(1)), NOT_STALLED, 77, LENIENT))
           .isTrue();
     }
 
+    /** Guards against refusals of keys while the platform would confirm the configuration. */
+    @Test
+    void shouldReadAtHalfTheMaximumAgeWhenRevocationIsStrict() {
+      RevocationPolicy strict = new RevocationPolicy(true, Duration.ofSeconds(5));
+      Optional<Duration> half = Optional.of(Duration.ofMillis(2500));
+      Optional<Duration> more = Optional.of(Duration.ofMillis(2501));
+
+      assertThat(FeedReadPolicy.isFallbackReadDue(half, NOT_STALLED, 77, strict)).isFalse();
+      assertThat(FeedReadPolicy.isFallbackReadDue(more, NOT_STALLED, 77, strict)).isTrue();
+      assertThat(FeedReadPolicy.isFallbackReadDue(more, NOT_STALLED, 77, LENIENT)).isFalse();
+    }
+
     @Test
     void shouldReadWhenPeersHoldANewerVersionAndDoNotDeliverIt() {
       Optional<Duration> fresh = Optional.of(Duration.ZERO);
 
-      assertThat(FeedReadPolicy.isFallbackReadDue(fresh, false, 77)).isFalse();
-      assertThat(FeedReadPolicy.isFallbackReadDue(fresh, true, 77)).isTrue();
+      assertThat(FeedReadPolicy.isFallbackReadDue(fresh, false, 77, LENIENT)).isFalse();
+      assertThat(FeedReadPolicy.isFallbackReadDue(fresh, true, 77, LENIENT)).isTrue();
     }
 
     @Test
--- a/parsleycart-link/src/main/java/org/parsleycart/link/dialect/CallHeaderNames.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/dialect/CallHeaderNames.java
@@ -13,13 +13,15 @@
  * @param expectedInstance the identifier of the only upstream that may run the request
  * @param callerService the service on the VM of the daemon that received the request
  * @param notRun set in answers if the upstream did not run the request
+ * @param organisation the name of the organisation whose key came with the request
  */
 public record CallHeaderNames(
     HttpString requestIdentifier,
     HttpString deadline,
     HttpString expectedInstance,
     HttpString callerService,
-    HttpString notRun) {
+    HttpString notRun,
+    HttpString organisation) {
 
   // -- construction
 
@@ -29,11 +31,16 @@
     requireNonNull(expectedInstance, "expectedInstance is null");
     requireNonNull(callerService, "callerService is null");
     requireNonNull(notRun, "notRun is null");
+    requireNonNull(organisation, "organisation is null");
   }
 
   // -- queries
 
-  /** Returns the request headers that the mesh sets, overwriting those of the sender. */
+  /**
+   * Returns the request headers that the mesh sets, overwriting those of the sender. The header of
+   * the organisation is not among them, as it is controlled only where organisations are
+   * configured.
+   */
   public Set<HttpString> meshControlledHeaders() {
     return Set.of(deadline, expectedInstance, callerService);
   }
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Organisation.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Organisation.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.regex.Pattern;
@@ -19,11 +20,13 @@
 public record Organisation(
     String name, KeyDigests keyDigests, OptionalInt rank, OptionalDouble callsPerSecond)
     implements Resource {
+  /** The largest number of calls per second that may be stated. */
+  public static final double MAXIMUM_CALLS_PER_SECOND = 1e9;
+
   private static final String KEYS = "keys";
   private static final String KEY_DIGESTS = "keyDigests";
   private static final String RANK = "rank";
   private static final String CALLS_PER_SECOND = "callsPerSecond";
-  private static final double MAXIMUM_CALLS_PER_SECOND = 1e9;
 
   /** Names are sent in headers, which hold visible ASCII characters and inner spaces. */
   private static final Pattern NAME_PATTERN = Pattern.compile("[!-~]([ -~]{0,198}[!-~])?");
@@ -50,10 +53,17 @@
 
   // -- queries
 
-  /** Returns the queue rank of a call of this organisation under a contract. */
-  public int queueRank(Contract contract) {
+  /**
+   * Returns the queue rank of a call: that of the organisation, or of the contract if there is no
+   * organisation or it has no rank.
+   */
+  public static int queueRank(Optional<Organisation> organisation, Contract contract) {
+    requireNonNull(organisation, "organisation is null");
     requireNonNull(contract, "contract is null");
-    return rank.orElseGet(contract::queueRank);
+    return organisation
+        .map(Organisation::rank)
+        .orElseGet(OptionalInt::empty)
+        .orElseGet(contract::queueRank);
   }
 
   // -- Resource
--- a/parsleycart-model/src/test/java/org/parsleycart/model/OrganisationTest.java
+++ b/parsleycart-model/src/test/java/org/parsleycart/model/OrganisationTest.java
@@ -173,12 +173,16 @@
             .findFirst()
             .orElseThrow();
 
-    assertThat(organisation("a", OptionalInt.of(0)).queueRank(contract)).isZero();
-    assertThat(organisation("a", OptionalInt.empty()).queueRank(contract)).isEqualTo(3);
+    assertThat(rank(Optional.of(OptionalInt.of(0)), contract)).isZero();
+    assertThat(rank(Optional.of(OptionalInt.empty()), contract)).isEqualTo(3);
+    assertThat(rank(Optional.empty(), contract)).isEqualTo(3);
   }
 
-  private static Organisation organisation(String name, OptionalInt rank) {
-    return new Organisation(name, KeyDigests.none(), rank, OptionalDouble.empty());
+  private static int rank(Optional<OptionalInt> rankOfOrganisation, Contract contract) {
+    return Organisation.queueRank(
+        rankOfOrganisation.map(
+            rank -> new Organisation("a", KeyDigests.none(), rank, OptionalDouble.empty())),
+        contract);
   }
 
   @Test
