--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
@@ -2,11 +2,26 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.parsleycart.decision.spreading.RevocationPolicy;
 import org.parsleycart.model.document.Problem;
 
 class DaemonSettingsTest {
+  private static final String REVOCATION =
+      """
+      zone: a
+      dialect: %s
+      addresses: {callers: "10.0.0.1:1", daemons: "10.0.0.1:2", control: "10.0.0.1:3",
+                  operators: "10.0.0.1:4"}
+      platform: "10.0.0.2:1"
+      peerKeys: [test-key-0123456789]
+      platformBounds: [graceS=6, %s]
+      """;
+
   @Test
   void shouldReportEveryProblemWithItsLocationWhenSettingsAreInvalid() {
     List<Problem> problems =
@@ -36,4 +51,28 @@
             "8 limits.queueLength",
             "8 limits.colour");
   }
+
+  @Test
+  void shouldReadHowSoonRevokedKeysStopWorking() {
+    DaemonSettings settings =
+        DaemonSettings.parse(
+                "daemon.yaml",
+                REVOCATION.formatted("platform", "strictRevocation=true, revokeMs=3000"))
+            .get();
+
+    assertThat(settings.revocation()).isEqualTo(new RevocationPolicy(true, Duration.ofSeconds(3)));
+  }
+
+  /** Guards against a mistyped bound, and against a dialect in which keys would never work. */
+  @ParameterizedTest
+  @CsvSource({
+    "platform, strictRevocation=TRUE",
+    "platform, revokeMs=soon",
+    "parsleycart, strictRevocation=true"
+  })
+  void shouldReportTheBoundWhenStrictRevocationCannotBeKept(String dialect, String bound) {
+    assertThat(DaemonSettings.parse("daemon.yaml", REVOCATION.formatted(dialect, bound)).getLeft())
+        .extracting(problem -> problem.location().path())
+        .containsExactly("platformBounds");
+  }
 }
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Digest.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Digest.java
@@ -21,10 +21,14 @@
 
   /** Computes the digest of the given bytes. */
   public static Digest of(byte[] bytes) {
+    return new Digest(HexFormat.of().formatHex(bytesOf(bytes)));
+  }
+
+  /** Computes the 32 bytes of the digest of the given bytes. */
+  static byte[] bytesOf(byte[] bytes) {
     requireNonNull(bytes, "bytes is null");
     try {
-      byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
-      return new Digest(HexFormat.of().formatHex(digest));
+      return MessageDigest.getInstance("SHA-256").digest(bytes);
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException(
           "SHA-256 is missing, although every Java runtime must provide it", e);
--- a/parsleycart-model/src/main/java/org/parsleycart/model/KeyDigest.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/KeyDigest.java
@@ -18,7 +18,7 @@
   /** The size in bytes of the longest key. */
   public static final int MAXIMUM_KEY_BYTES = 1024;
 
-  private static final int BYTES = 2 * Long.BYTES;
+  private static final int HEXADECIMAL_DIGITS = 32;
 
   /** The digest, or the complete SHA-256 digest, of which the rest is not used. */
   private static final Pattern HEXADECIMAL = Pattern.compile("[0-9a-fA-F]{32}([0-9a-fA-F]{32})?");
@@ -34,16 +34,19 @@
     byte[] bytes = key.getBytes(StandardCharsets.UTF_8);
     return bytes.length > MAXIMUM_KEY_BYTES
         ? Optional.empty()
-        : parse(Digest.of(bytes).hexadecimal());
+        : Optional.of(ofBytes(Digest.bytesOf(bytes)));
+  }
+
+  private static KeyDigest ofBytes(byte[] digest) {
+    ByteBuffer buffer = ByteBuffer.wrap(digest);
+    return new KeyDigest(buffer.getLong(), buffer.getLong());
   }
 
   /** Parses the hexadecimal form of a digest, or returns empty if the text has another form. */
   static Optional<KeyDigest> parse(String text) {
-    if (!HEXADECIMAL.matcher(text).matches()) {
-      return Optional.empty();
-    }
-    ByteBuffer bytes = ByteBuffer.wrap(HexFormat.of().parseHex(text, 0, 2 * BYTES));
-    return Optional.of(new KeyDigest(bytes.getLong(), bytes.getLong()));
+    return HEXADECIMAL.matcher(text).matches()
+        ? Optional.of(ofBytes(HexFormat.of().parseHex(text, 0, HEXADECIMAL_DIGITS)))
+        : Optional.empty();
   }
 
   // -- conversion
