Write the digests of keys in groups of 64

Change: a text holds up to 64 digests, separated by spaces; a text with one digest is read as before.

OrganisationTest passes.

--- a/parsleycart-model/src/main/java/org/parsleycart/model/KeyDigests.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/KeyDigests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -20,6 +21,13 @@
 public final class KeyDigests {
   private static final KeyDigests NONE = new KeyDigests(new long[0]);
   private static final int WORDS = 2;
+  private static final String SEPARATOR = " ";
+
+  /**
+   * Digests are written in groups: a document with a text for each of 100,000 digests takes several
+   * times the memory of the digests.
+   */
+  private static final int DIGESTS_PER_TEXT = 64;
 
   /** Two words for each digest, in ascending order of the digests, without duplicates. */
   private final long[] words;
@@ -57,18 +65,18 @@
     return read(
         reader,
         field,
-        KeyDigest::ofKey,
+        key -> Stream.of(KeyDigest.ofKey(key)),
         "keys of organisation \"%s\" of which one is empty, too long or no text"
             .formatted(organisation),
         "texts of 1 to %d bytes".formatted(KeyDigest.MAXIMUM_KEY_BYTES));
   }
 
-  /** Reads a list of digests in hexadecimal form. */
+  /** Reads a list of digests in hexadecimal form; a text may hold several, separated by spaces. */
   static KeyDigests fromDigests(MappingReader reader, String field, String organisation) {
     return read(
         reader,
         field,
-        KeyDigest::parse,
+        text -> Arrays.stream(text.split(SEPARATOR, -1)).map(KeyDigest::parse),
         "malformed key digests of organisation \"%s\"".formatted(organisation),
         "SHA-256 digests, whole or the first 128 bits, as hexadecimal digits");
   }
@@ -76,7 +84,7 @@
   private static KeyDigests read(
       MappingReader reader,
       String field,
-      Function<String, Optional<KeyDigest>> conversion,
+      Function<String, Stream<Optional<KeyDigest>>> conversion,
       String found,
       String expected) {
     Optional<Document> node = reader.document(field);
@@ -86,7 +94,10 @@
     // The items are not read as texts by the reader, whose problems quote the value found.
     List<Optional<KeyDigest>> digests =
         node.get() instanceof Document.Sequence list
-            ? list.items().stream().map(item -> text(item).flatMap(conversion)).toList()
+            ? list.items().stream()
+                .flatMap(
+                    item -> text(item).map(conversion).orElseGet(() -> Stream.of(Optional.empty())))
+                .toList()
             : List.of(Optional.empty());
     if (digests.stream().anyMatch(Optional::isEmpty)) {
       reader.report(field, found, "a list of " + expected);
@@ -134,7 +145,16 @@
   // -- conversion
 
   Document.Sequence toDocument() {
-    return Document.texts(stream().map(KeyDigest::toHexadecimal).toList());
+    return Document.texts(
+        IntStream.iterate(0, first -> first < size(), first -> first + DIGESTS_PER_TEXT)
+            .mapToObj(this::textFrom)
+            .toList());
+  }
+
+  private String textFrom(int first) {
+    return IntStream.range(first, Math.min(size(), first + DIGESTS_PER_TEXT))
+        .mapToObj(position -> get(position).toHexadecimal())
+        .collect(Collectors.joining(SEPARATOR));
   }
 
   // -- Object
--- a/parsleycart-model/src/test/java/org/parsleycart/model/OrganisationTest.java
+++ b/parsleycart-model/src/test/java/org/parsleycart/model/OrganisationTest.java
@@ -116,7 +116,8 @@
         "keys: [[secret-1]]",
         "keys: [1234567]",
         "keys: {secret-1: secret-2}",
-        "keyDigests: [secret-1]"
+        "keyDigests: [secret-1]",
+        "keyDigests: [\"00000000000000000000000000000000 secret-1\"]"
       })
   void shouldReportTheOrganisationAndNoPartOfAKeyWhenKeysAreMalformed(String keys) {
     String problems =
@@ -223,6 +224,8 @@
             .toList();
     Configuration configuration = Configuration.of(1, all).get();
 
+    assertThat(Configuration.from(configuration.toBytes()).get().digest())
+        .isEqualTo(configuration.digest());
     for (int number = 0; number < organisations; number++) {
       for (int key = 0; key < keysOfEach; key++) {
         assertThat(owner(configuration, number + "/" + key)).contains("o" + number);
