Choose upstreams by the expected end of a call

Cause: two choices by the last report know neither its age nor the speed of an upstream, and with 80 daemons a report from a given upstream is seconds old when it is used. Change: with limits.balancing: expected-end a daemon compares the six upstreams that reported last to it and a few drawn at random. A report goes to one daemon, so that daemons do not herd. EndEstimator decays the calls of others with the age of the report and adds own calls in flight. Another zone costs its round trip and a price; upstreams that would end a call after its deadline come last. UpstreamSelection.explain shows all of it without a change. Daemons report the usual time of a call and the pace in a header of their own, x-parsleycart-pace, which earlier daemons drop; the load header is unchanged. A stated pace counts only relative to its average, within a factor of two. Parsleycart-Server-Load is read by the platform's dialect. In the simulation, a report now leaves before the slot is freed, as it does in the daemon, and arrivals, work and paces no longer depend on what is chosen; bounds are unchanged.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -204,7 +204,7 @@
         state,
         settings.identifier(),
         loads,
-        new UpstreamSelection(loads),
+        new UpstreamSelection(loads, settings.limits().balancing()),
         new RetryPolicy(
             RetryBudgets.of(
                 () ->
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -243,12 +243,14 @@
       dialect
           .notice(response.getResponseHeaders())
           .peek(notice -> recordNotice(notice, hasRun))
-          .peekLeft(
-              problem ->
-                  Logger.warn(
-                      "answer of upstream {}: {}, the statement before it holds",
-                      upstream.announced().identifier(),
-                      problem));
+          .peekLeft(this::warn);
+    }
+
+    private void warn(String problem) {
+      Logger.warn(
+          "answer of upstream {}: {}, the statement before it holds",
+          upstream.announced().identifier(),
+          problem);
     }
 
     /** Records a notice; only the answer to a call that ran ends a stated rate by omitting it. */
@@ -262,6 +264,8 @@
                 ? notice.callsPerSecond().getAsDouble()
                 : "any number of");
       }
+      notice.load().ifPresent(load -> upstream.pace().recordStatement(load.pace()));
+      notice.loadProblem().ifPresent(this::warn);
       if (notice.isLeaving()) {
         upstreams.recordLeaving(upstream.announced().identifier());
       }
@@ -269,7 +273,7 @@
 
     @Override
     public void beforeDelivery(HttpServerExchange exchange) {
-      call.listener().beforeDelivery(exchange, upstream.admission().load());
+      call.listener().beforeDelivery(exchange, upstream.load());
     }
 
     @Override
@@ -282,7 +286,7 @@
       }
       recordStatistics(result, latency);
       applyDecision(upstream, decision);
-      call.listener().loadReported(upstream.admission().load());
+      call.listener().loadReported(upstream.load());
       call.listener().ended(result);
     }
 
@@ -294,7 +298,10 @@
         return upstream.admission().recordOverload();
       }
       return switch (result.fault()) {
-        case NONE, LATE, FAILED_ANSWER -> upstream.admission().recordAnswer(call.route(), latency);
+        case NONE, LATE, FAILED_ANSWER -> {
+          upstream.pace().recordAnswer(latency);
+          yield upstream.admission().recordAnswer(call.route(), latency);
+        }
         case UNREACHABLE -> upstream.admission().recordConnectionFailure();
         case BROKEN -> upstream.admission().recordFailure();
         case UNUSABLE, CALLER_GONE, REPEATED, REFUSED_BY_UPSTREAM ->
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -23,6 +23,10 @@
   static final HttpString OUTCOME = new HttpString(PREFIX + "outcome");
   static final HttpString REASON = new HttpString(PREFIX + "reason");
   static final HttpString LOAD = new HttpString(PREFIX + "load");
+
+  /** How long calls take at an upstream, apart from the load, which earlier daemons parse whole. */
+  static final HttpString PACE = new HttpString(PREFIX + "pace");
+
   static final HttpString ZONE = new HttpString(PREFIX + "zone");
   static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
   static final HttpString IDEMPOTENCY_ATTEMPT = new HttpString("Idempotency-Attempt");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -348,9 +348,7 @@
 
     @Override
     public Optional<AttemptResult> intercept(ClientResponse response) {
-      String report = response.getResponseHeaders().getFirst(CallHeaders.LOAD);
-      Optional.ofNullable(report)
-          .flatMap(LoadReport::parse)
+      MeshResponses.readLoad(response.getResponseHeaders())
           .ifPresent(parsed -> load.recordReport(parsed, dependencies.clock().instant()));
       dependencies
           .dialect()
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstream.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstream.java
@@ -5,6 +5,8 @@
 import java.time.Instant;
 import java.util.Optional;
 import org.parsleycart.decision.admission.AdmissionControl;
+import org.parsleycart.decision.admission.LoadReport;
+import org.parsleycart.decision.admission.PaceTracker;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
 import org.parsleycart.decision.membership.UpstreamHeartbeat;
 
@@ -16,13 +18,15 @@
  * @param renewBy when its announcement expires unless it is renewed
  * @param heartbeat its last heartbeat, empty if it sends none
  * @param admission controls the admission of calls to it
+ * @param pace tracks how long its calls take
  */
 record LocalUpstream(
     AnnouncedUpstream announced,
     String address,
     Instant renewBy,
     Optional<UpstreamHeartbeat> heartbeat,
-    AdmissionControl<LocalCall> admission) {
+    AdmissionControl<LocalCall> admission,
+    PaceTracker pace) {
 
   LocalUpstream {
     requireNonNull(announced, "announced is null");
@@ -30,6 +34,12 @@
     requireNonNull(renewBy, "renewBy is null");
     requireNonNull(heartbeat, "heartbeat is null");
     requireNonNull(admission, "admission is null");
+    requireNonNull(pace, "pace is null");
+  }
+
+  /** Returns the load to report to entry daemons. */
+  LoadReport load() {
+    return admission.load().withPace(pace.current());
   }
 
   /**
@@ -40,12 +50,12 @@
     boolean isDraining = announced.draining() || later.upstream().draining();
     LocalUpstream updated =
         new LocalUpstream(
-            later.upstream(), later.address(), newRenewBy, Optional.of(later), admission);
+            later.upstream(), later.address(), newRenewBy, Optional.of(later), admission, pace);
     return isDraining ? updated.toDraining() : updated;
   }
 
   LocalUpstream withRenewBy(Instant newRenewBy) {
-    return new LocalUpstream(announced, address, newRenewBy, heartbeat, admission);
+    return new LocalUpstream(announced, address, newRenewBy, heartbeat, admission, pace);
   }
 
   /**
@@ -68,6 +78,6 @@
             announced.version(),
             announced.slots(),
             true);
-    return new LocalUpstream(drainingUpstream, address, renewBy, heartbeat, admission);
+    return new LocalUpstream(drainingUpstream, address, renewBy, heartbeat, admission, pace);
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -14,6 +14,7 @@
 import org.parsleycart.decision.admission.AdmissionDecision;
 import org.parsleycart.decision.admission.AdmissionSettings;
 import org.parsleycart.decision.admission.LoadReport;
+import org.parsleycart.decision.admission.PaceTracker;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
 import org.parsleycart.decision.membership.DepartedProcess;
@@ -84,7 +85,8 @@
         new AdmissionControl<>(settings, announced.slots(), clock);
     upstreams.put(
         announced.identifier(),
-        new LocalUpstream(announced, address, renewBy, Optional.empty(), admission));
+        new LocalUpstream(
+            announced, address, renewBy, Optional.empty(), admission, new PaceTracker()));
     changeListener.run();
   }
 
@@ -144,7 +146,8 @@
                 heartbeat.address(),
                 renewBy,
                 Optional.of(heartbeat),
-                newAdmission(heartbeat));
+                newAdmission(heartbeat),
+                new PaceTracker());
     after.admission().setRemainingColdTime(heartbeat.remainingColdTime());
     upstreams.put(identifier, after);
     if (!isSameProcess || !before.announced().equals(after.announced())) {
@@ -278,7 +281,7 @@
     if (decision.refusals().isEmpty()) {
       return;
     }
-    LoadReport load = upstream.admission().load();
+    LoadReport load = upstream.load();
     decision
         .refusals()
         .forEach(
@@ -323,7 +326,7 @@
                 new View(
                     each.announced(),
                     each.address(),
-                    each.admission().load(),
+                    each.load(),
                     each.admission().returnsToCold()))
         .toList();
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/MeshResponses.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/MeshResponses.java
@@ -9,7 +9,9 @@
 import io.undertow.util.StatusCodes;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
 import org.parsleycart.decision.AttemptOutcome;
+import org.parsleycart.decision.admission.CallPace;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.link.dialect.Dialect;
@@ -109,7 +111,21 @@
 
   /** Adds the load of an upstream to the response to another daemon. */
   static void addLoadHeader(HttpServerExchange exchange, LoadReport load) {
-    exchange.getResponseHeaders().put(CallHeaders.LOAD, load.toString());
+    putLoad(exchange.getResponseHeaders(), load);
+  }
+
+  static void putLoad(HeaderMap headers, LoadReport load) {
+    headers.put(CallHeaders.LOAD, load.toString());
+    load.pace().ifPresent(pace -> headers.put(CallHeaders.PACE, pace.toString()));
+  }
+
+  /** Reads the load of an upstream from the response of another daemon. */
+  static Optional<LoadReport> readLoad(HeaderMap headers) {
+    Optional<CallPace> pace =
+        Optional.ofNullable(headers.getFirst(CallHeaders.PACE)).flatMap(CallPace::parse);
+    return Optional.ofNullable(headers.getFirst(CallHeaders.LOAD))
+        .flatMap(LoadReport::parse)
+        .map(load -> load.withPace(pace));
   }
 
   private static void setStatusAndHeaders(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamChoice.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamChoice.java
@@ -86,7 +86,12 @@
     }
     return dependencies
         .selection()
-        .choose(pool, tried, dependencies.clock().instant(), dependencies.random().get());
+        .choose(
+            pool,
+            tried,
+            dependencies.clock().instant(),
+            request.deadline(),
+            dependencies.random().get());
   }
 
   // -- queries
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.parsleycart.decision.routing.Balancing;
 import org.parsleycart.model.document.MappingReader;
 import org.parsleycart.platform.PlatformBounds;
 
@@ -25,6 +26,7 @@
  * @param retriesPerCall the retries that each call to a service adds to the retry budget of the
  *     service
  * @param savedRetries the maximum retry budget that a service can accumulate
+ * @param balancing how calls are balanced between upstreams
  */
 public record DaemonLimits(
     int coldLimit,
@@ -38,7 +40,8 @@
     Optional<Duration> graceTime,
     boolean trustsSlots,
     double retriesPerCall,
-    double savedRetries) {
+    double savedRetries,
+    Balancing balancing) {
   private static final long MEBIBYTE = 1024 * 1024;
   private static final double DEFAULT_RETRIES_PER_CALL = 0.1;
   private static final double DEFAULT_SAVED_RETRIES = 20;
@@ -49,6 +52,7 @@
   public DaemonLimits {
     requireNonNull(drainTimeout, "drainTimeout is null");
     requireNonNull(graceTime, "graceTime is null");
+    requireNonNull(balancing, "balancing is null");
   }
 
   /**
@@ -71,11 +75,21 @@
             reader
                 .decimal("retriesPerCall", 0, 1)
                 .orElse(bounds.retriesPerCall().orElse(DEFAULT_RETRIES_PER_CALL)),
-            reader.decimal("savedRetries", 0, MAXIMUM_SAVED_RETRIES).orElse(DEFAULT_SAVED_RETRIES));
+            reader.decimal("savedRetries", 0, MAXIMUM_SAVED_RETRIES).orElse(DEFAULT_SAVED_RETRIES),
+            balancing(reader));
     reader.reportUnknownKeys();
     return limits;
   }
 
+  private static Balancing balancing(MappingReader reader) {
+    Optional<String> label = reader.text("balancing");
+    Optional<Balancing> balancing = label.flatMap(Balancing::ofLabel);
+    if (label.isPresent() && balancing.isEmpty()) {
+      reader.report("balancing", "\"" + label.get() + "\"", "two-choices or expected-end");
+    }
+    return balancing.orElse(Balancing.TWO_CHOICES);
+  }
+
   private static int number(
       MappingReader reader, String key, int minimum, int maximum, int defaultValue) {
     return reader.number(key, minimum, maximum).orElse((long) defaultValue).intValue();
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
@@ -36,4 +36,17 @@
             "8 limits.queueLength",
             "8 limits.colour");
   }
+
+  /** Guards against a misspelt balancing that silently means the default. */
+  @Test
+  void shouldReportAnUnknownBalancing() {
+    List<Problem> problems =
+        DaemonSettings.parse("daemon.yaml", "limits: {balancing: expected}\n").getLeft();
+
+    assertThat(problems)
+        .filteredOn(problem -> problem.location().path().equals("limits.balancing"))
+        .singleElement()
+        .satisfies(
+            problem -> assertThat(problem.toString()).contains("two-choices or expected-end"));
+  }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/LoadReport.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/LoadReport.java
@@ -12,14 +12,23 @@
  *
  * @param outstandingCalls calls that are running or queued
  * @param limit calls that may run at once
+ * @param pace how long calls take, empty if the daemon beside the upstream does not know or report
+ *     it; travels apart from the text form, which daemons of earlier builds parse as a whole
  */
-public record LoadReport(int outstandingCalls, int limit, WarmUpState warmUpState) {
+public record LoadReport(
+    int outstandingCalls, int limit, WarmUpState warmUpState, Optional<CallPace> pace) {
   private static final Pattern TEXT_FORM = Pattern.compile("([0-9]{1,6})/([0-9]{1,6}) ([a-z]+)");
 
   // -- construction
 
   public LoadReport {
     requireNonNull(warmUpState, "warmUpState is null");
+    requireNonNull(pace, "pace is null");
+  }
+
+  /** Creates a report without a pace. */
+  public LoadReport(int outstandingCalls, int limit, WarmUpState warmUpState) {
+    this(outstandingCalls, limit, warmUpState, Optional.empty());
   }
 
   /**
@@ -43,6 +52,13 @@
                     warmUpState));
   }
 
+  // -- queries
+
+  /** Returns this report with another pace. */
+  public LoadReport withPace(Optional<CallPace> newPace) {
+    return new LoadReport(outstandingCalls, limit, warmUpState, newPace);
+  }
+
   // -- Object
 
   @Override
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/UpstreamNotice.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/UpstreamNotice.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
@@ -11,14 +12,27 @@
  * @param callsPerSecond the calls per second that it takes from all daemons together, or empty for
  *     no limit
  * @param isLeaving whether it is about to end and takes no new calls
+ * @param load its load, empty if it states none or a malformed one
+ * @param loadProblem what is wrong with a malformed load
  */
-public record UpstreamNotice(OptionalDouble callsPerSecond, boolean isLeaving) {
+public record UpstreamNotice(
+    OptionalDouble callsPerSecond,
+    boolean isLeaving,
+    Optional<ServerLoad> load,
+    Optional<String> loadProblem) {
   private static final UpstreamNotice NONE = new UpstreamNotice(OptionalDouble.empty(), false);
 
   // -- construction
 
   public UpstreamNotice {
     requireNonNull(callsPerSecond, "callsPerSecond is null");
+    requireNonNull(load, "load is null");
+    requireNonNull(loadProblem, "loadProblem is null");
+  }
+
+  /** Creates a notice without a load. */
+  public UpstreamNotice(OptionalDouble callsPerSecond, boolean isLeaving) {
+    this(callsPerSecond, isLeaving, Optional.empty(), Optional.empty());
   }
 
   /** Returns the notice of an answer that states nothing. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
@@ -43,10 +43,16 @@
   private volatile Optional<Instant> reportedAt = Optional.empty();
   private volatile Instant ejectedUntil = Instant.MIN;
   private volatile Instant leavingUntil = Instant.MIN;
+  private volatile Optional<ReceivedReport> lastReport = Optional.empty();
+  private final String identifier;
+  private final ServiceLoad serviceLoad;
 
   // -- construction
 
-  UpstreamLoad() {}
+  UpstreamLoad(String identifier, ServiceLoad serviceLoad) {
+    this.identifier = requireNonNull(identifier, "identifier is null");
+    this.serviceLoad = requireNonNull(serviceLoad, "serviceLoad is null");
+  }
 
   // -- events
 
@@ -65,7 +71,10 @@
     requireNonNull(report, "report is null");
     reportedAt = Optional.of(now);
     reportedLimit = Math.max(1, report.limit());
-    outstandingFromOthers = Math.max(0, report.outstandingCalls() - inFlight.get());
+    int own = inFlight.get();
+    outstandingFromOthers = Math.max(0, report.outstandingCalls() - own);
+    lastReport = Optional.of(new ReceivedReport(report, own, now));
+    serviceLoad.recordReport(identifier, report);
   }
 
   /**
@@ -133,6 +142,11 @@
     return outstandingFromOthers + inFlight.get();
   }
 
+  /** Returns the last load report, empty if there was none. */
+  Optional<ReceivedReport> lastReport() {
+    return lastReport;
+  }
+
   /** Returns the time since the last load report, empty if there was none. */
   public Optional<Duration> reportAge(Instant now) {
     return reportedAt.map(time -> Duration.between(time, now));
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
@@ -3,6 +3,8 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
@@ -11,6 +13,7 @@
 /** The loads of all upstreams known to one entry daemon. Thread-safe. */
 public final class UpstreamLoadTable {
   private final ConcurrentHashMap<String, UpstreamLoad> loadsByUpstream = new ConcurrentHashMap<>();
+  private final ConcurrentHashMap<String, ServiceLoad> loadsByService = new ConcurrentHashMap<>();
 
   // -- queries
 
@@ -20,7 +23,23 @@
     UpstreamLoad load = loadsByUpstream.get(candidate.identifier());
     return load != null
         ? load
-        : loadsByUpstream.computeIfAbsent(candidate.identifier(), unused -> new UpstreamLoad());
+        : loadsByUpstream.computeIfAbsent(
+            candidate.identifier(),
+            identifier -> new UpstreamLoad(identifier, ofService(candidate)));
+  }
+
+  /** Returns the load of an upstream, empty if nothing has been recorded of it. */
+  Optional<UpstreamLoad> find(Candidate candidate) {
+    return Optional.ofNullable(loadsByUpstream.get(candidate.identifier()));
+  }
+
+  /** Returns what the reports of all upstreams of the service of a candidate show. */
+  ServiceLoad ofService(Candidate candidate) {
+    String service = candidate.upstream().service();
+    ServiceLoad load = loadsByService.get(service);
+    return load != null
+        ? load
+        : loadsByService.computeIfAbsent(service, unused -> new ServiceLoad());
   }
 
   // -- updates
@@ -31,7 +50,13 @@
    * announced again by a daemon that has restarted.
    */
   public void retainOnly(Stream<Candidate> candidates, Instant now) {
-    Set<String> retained = candidates.map(Candidate::identifier).collect(Collectors.toSet());
+    List<Candidate> current = candidates.toList();
+    Set<String> retained = current.stream().map(Candidate::identifier).collect(Collectors.toSet());
+    Set<String> services =
+        current.stream()
+            .map(candidate -> candidate.upstream().service())
+            .collect(Collectors.toSet());
+    loadsByService.keySet().retainAll(services);
     loadsByUpstream
         .entrySet()
         .removeIf(entry -> !retained.contains(entry.getKey()) && !entry.getValue().isLeaving(now));
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
@@ -3,16 +3,28 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Instant;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /**
- * Selects the upstream of a call: the less loaded of two candidates drawn at random. Candidates in
- * the local zone are preferred while they have capacity. Candidates in other zones are chosen when
- * they are clearly less loaded.
+ * Selects the upstream of a call.
+ *
+ * <p>With two choices it is the less loaded of two candidates drawn at random. Candidates in the
+ * local zone are preferred while they have capacity. Candidates in other zones are chosen when they
+ * are clearly less loaded.
+ *
+ * <p>With the expected end it is the best by {@link EndEstimator} of the upstreams that reported
+ * last to this daemon and a few drawn at random. A report goes to one daemon, so that daemons which
+ * choose by their latest reports do not choose the same upstream.
  *
  * <p>The cost does not grow with the number of upstreams unless no drawn candidate is usable.
  */
@@ -22,28 +34,107 @@
   private static final int MAXIMUM_DRAWS = 6;
   private static final int EJECTION_SAMPLE_SIZE = 16;
 
+  /** Candidates drawn in the local zone, and again in all others, beside those that reported. */
+  private static final int DRAWN_CANDIDATES = 2;
+
+  /** The candidates of a zone up to which all are compared. */
+  private static final int MAXIMUM_COMPARED = 6;
+
   private final UpstreamLoadTable loads;
+  private final Balancing balancing;
+  private final EndEstimator estimator;
 
   // -- construction
 
+  /** Creates a selection by two choices. */
   public UpstreamSelection(UpstreamLoadTable loads) {
+    this(loads, Balancing.TWO_CHOICES);
+  }
+
+  public UpstreamSelection(UpstreamLoadTable loads, Balancing balancing) {
     this.loads = requireNonNull(loads, "loads is null");
+    this.balancing = requireNonNull(balancing, "balancing is null");
+    this.estimator = new EndEstimator(loads);
   }
 
   // -- decision
 
+  /** Selects an upstream for a call without a deadline. */
+  public Optional<Candidate> choose(
+      CandidatePool pool, Set<String> tried, Instant now, RandomGenerator random) {
+    return choose(pool, tried, now, Instant.MAX, random);
+  }
+
   /**
    * Selects an upstream.
    *
    * @param pool the candidates
    * @param tried identifiers of the upstreams that this call has already tried
+   * @param deadline when an answer becomes useless
    * @param random the source of the random draws
    * @return the selected upstream, or empty if each has been tried or leaves
    */
   public Optional<Candidate> choose(
-      CandidatePool pool, Set<String> tried, Instant now, RandomGenerator random) {
+      CandidatePool pool,
+      Set<String> tried,
+      Instant now,
+      Instant deadline,
+      RandomGenerator random) {
     requireNonNull(pool, "pool is null");
+    requireNonNull(deadline, "deadline is null");
     Predicate<Candidate> isUsable = isUsable(pool, tried, now);
+    Optional<Candidate> chosen =
+        switch (balancing) {
+          case TWO_CHOICES -> lessUtilized(pool, isUsable, random);
+          case EXPECTED_END -> earliestEnd(pool, isUsable, now, deadline, random);
+        };
+    return chosen.or(() -> pool.all().filter(isUntried(tried, now)).findFirst());
+  }
+
+  private Optional<Candidate> earliestEnd(
+      CandidatePool pool,
+      Predicate<Candidate> isUsable,
+      Instant now,
+      Instant deadline,
+      RandomGenerator random) {
+    Map<Candidate, Boolean> compared = new LinkedHashMap<>();
+    Consumer<Candidate> local = candidate -> compared.put(candidate, true);
+    Consumer<Candidate> other = candidate -> compared.putIfAbsent(candidate, false);
+    sample(pool.localZone(), isUsable, random).forEach(local);
+    sample(pool.otherZones(), isUsable, random).forEach(other);
+    pool.all().findFirst().map(loads::ofService).stream()
+        .flatMap(service -> service.recentUpstreams().stream())
+        .flatMap(upstream -> pool.find(upstream).stream())
+        .filter(isUsable)
+        .forEach(candidate -> (pool.isInLocalZone(candidate) ? local : other).accept(candidate));
+    return compared.entrySet().stream()
+        .min(
+            Comparator.comparingDouble(
+                entry ->
+                    estimator.estimate(entry.getKey(), entry.getValue(), now, deadline).cost()))
+        .map(Map.Entry::getKey);
+  }
+
+  /**
+   * Returns the usable candidates of a small zone, and some drawn at random of a larger one. The
+   * order is random, so that daemons do not agree on one of several equal candidates.
+   */
+  private static Stream<Candidate> sample(
+      List<Candidate> zoneCandidates, Predicate<Candidate> isUsable, RandomGenerator random) {
+    int size = zoneCandidates.size();
+    if (size > MAXIMUM_COMPARED) {
+      return IntStream.range(0, DRAWN_CANDIDATES)
+          .mapToObj(count -> draw(zoneCandidates, isUsable, random))
+          .flatMap(Optional::stream);
+    }
+    int first = random.nextInt(Math.max(1, size));
+    return IntStream.range(0, size)
+        .mapToObj(index -> zoneCandidates.get((first + index) % size))
+        .filter(isUsable);
+  }
+
+  private Optional<Candidate> lessUtilized(
+      CandidatePool pool, Predicate<Candidate> isUsable, RandomGenerator random) {
     Optional<Candidate> local = lessLoadedOfTwo(pool.localZone(), isUsable, random);
     if (local.isPresent() && utilization(local.get()) < SPILLOVER_UTILIZATION) {
       return local;
@@ -54,7 +145,7 @@
           utilization(other.get()) + OTHER_ZONE_UTILIZATION_PENALTY < utilization(local.get());
       return isOtherZoneBetter ? other : local;
     }
-    return local.or(() -> other).or(() -> pool.all().filter(isUntried(tried, now)).findFirst());
+    return local.or(() -> other);
   }
 
   /**
@@ -76,11 +167,12 @@
 
   private Predicate<Candidate> isUntried(Set<String> tried, Instant now) {
     return candidate ->
-        !tried.contains(candidate.identifier()) && !loads.of(candidate).isLeaving(now);
+        !tried.contains(candidate.identifier())
+            && loads.find(candidate).filter(load -> load.isLeaving(now)).isEmpty();
   }
 
   private boolean isEjected(Candidate candidate, Instant now) {
-    return loads.of(candidate).isEjected(now);
+    return loads.find(candidate).filter(load -> load.isEjected(now)).isPresent();
   }
 
   private Optional<Candidate> lessLoadedOfTwo(
@@ -108,4 +200,59 @@
   private double utilization(Candidate candidate) {
     return loads.of(candidate).utilization();
   }
+
+  // -- queries
+
+  public Balancing balancing() {
+    return balancing;
+  }
+
+  /**
+   * Explains how each candidate would be considered for a call now. Changes nothing and draws no
+   * candidates, so that the cost grows with the number of candidates.
+   */
+  public List<CandidateView> explain(
+      CandidatePool pool, Set<String> tried, Instant now, Instant deadline) {
+    requireNonNull(pool, "pool is null");
+    requireNonNull(tried, "tried is null");
+    Predicate<Candidate> isUsable = isUsable(pool, tried, now);
+    return pool.all()
+        .map(candidate -> view(pool, candidate, isUsable, tried, now, deadline))
+        .toList();
+  }
+
+  private CandidateView view(
+      CandidatePool pool,
+      Candidate candidate,
+      Predicate<Candidate> isUsable,
+      Set<String> tried,
+      Instant now,
+      Instant deadline) {
+    boolean isInLocalZone = pool.isInLocalZone(candidate);
+    Optional<UpstreamLoad> load = loads.find(candidate);
+    CallEstimate estimate = estimator.estimate(candidate, isInLocalZone, now, deadline);
+    return new CandidateView(
+        candidate,
+        isInLocalZone,
+        load.map(UpstreamLoad::inFlight).orElse(0),
+        load.flatMap(known -> known.reportAge(now)),
+        estimate,
+        balancing == Balancing.TWO_CHOICES
+            ? load.orElseGet(() -> new UpstreamLoad(candidate.identifier(), new ServiceLoad()))
+                .utilization()
+            : estimate.cost(),
+        isUsable.test(candidate)
+            ? Optional.empty()
+            : Optional.of(exclusion(load, tried, candidate, now)));
+  }
+
+  private static CandidateView.Exclusion exclusion(
+      Optional<UpstreamLoad> load, Set<String> tried, Candidate candidate, Instant now) {
+    if (tried.contains(candidate.identifier())) {
+      return CandidateView.Exclusion.TRIED;
+    }
+    return load.filter(known -> known.isLeaving(now)).isPresent()
+        ? CandidateView.Exclusion.LEAVING
+        : CandidateView.Exclusion.EJECTED;
+  }
 }
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetShape.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetShape.java
@@ -36,6 +36,22 @@
         12, 4, 4, 18, List.of(1.0), load, 3, 50, Duration.ofSeconds(1), 4_000, 30_000);
   }
 
+  /** Returns this fleet with another mean number of calls in a burst. */
+  FleetShape withCallsPerBurst(double newCallsPerBurst) {
+    return new FleetShape(
+        choosers,
+        upstreams,
+        zones,
+        slots,
+        slownesses,
+        load,
+        newCallsPerBurst,
+        meanCallMilliseconds,
+        deadline,
+        warmUpMilliseconds,
+        measuredMilliseconds);
+  }
+
   double slowness(int upstream) {
     return slownesses.get(upstream % slownesses.size());
   }
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetSimulation.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetSimulation.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -17,6 +18,7 @@
 import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.AdmissionSettings;
 import org.parsleycart.decision.admission.LoadReport;
+import org.parsleycart.decision.admission.PaceTracker;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
 import org.parsleycart.model.RequestKind;
 
@@ -41,6 +43,10 @@
   private final FleetShape shape;
   private final Selector selector;
   private final Random random;
+
+  /** Draws the arrivals, the work and the paces, which do not depend on what is chosen. */
+  private final Random arrivals;
+
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
   private final List<Server> servers;
@@ -65,12 +71,14 @@
 
   private static final class Call {
     private final Chooser chooser;
+    private final double workMilliseconds;
     private final Instant deadline;
     private final Set<String> tried = new HashSet<>();
     private long queuedAt;
 
-    private Call(Chooser chooser, Instant deadline) {
+    private Call(Chooser chooser, double workMilliseconds, Instant deadline) {
       this.chooser = chooser;
+      this.workMilliseconds = workMilliseconds;
       this.deadline = deadline;
     }
   }
@@ -81,6 +89,7 @@
     this.shape = shape;
     this.selector = selector;
     this.random = new Random(seed);
+    this.arrivals = new Random(seed + 1);
     this.servers = IntStream.range(0, shape.upstreams()).mapToObj(Server::new).toList();
     this.choosers = IntStream.range(0, shape.choosers()).mapToObj(Chooser::new).toList();
     double speed = servers.stream().mapToDouble(server -> 1 / server.slowness).average().orElse(1);
@@ -92,7 +101,7 @@
   /** Runs the fleet and returns the figures of the time after the warm-up. */
   FleetFigures run() {
     servers.forEach(server -> after(0, server::changePace));
-    choosers.forEach(chooser -> after(random.nextDouble() * 500, chooser::burst));
+    choosers.forEach(chooser -> after(arrivals.nextDouble() * 500, chooser::burst));
     after(shape.warmUpMilliseconds(), this::sample);
     long end = nanoseconds(shape.warmUpMilliseconds() + shape.measuredMilliseconds());
     while (!events.isEmpty() && events.peek().at() <= end) {
@@ -134,6 +143,7 @@
     private final Candidate candidate;
     private final double slowness;
     private final AdmissionControl<Call> admission;
+    private final PaceTracker tracker = new PaceTracker();
     private double pace;
 
     private Server(int index) {
@@ -152,8 +162,8 @@
 
     /** The pace varies by up to a fifth each way around the usual pace of the VM. */
     private void changePace() {
-      pace = slowness * (0.8 + 0.4 * random.nextDouble());
-      after(PACE_INTERVAL_MILLISECONDS * (0.5 + random.nextDouble()), this::changePace);
+      pace = slowness * (0.8 + 0.4 * arrivals.nextDouble());
+      after(PACE_INTERVAL_MILLISECONDS * (0.5 + arrivals.nextDouble()), this::changePace);
     }
 
     private boolean hasIdleSlot() {
@@ -191,20 +201,21 @@
       if (isMeasured()) {
         figures.recordWait((now - call.queuedAt) / (double) NANOSECONDS_PER_MILLISECOND);
       }
-      double exponential = -Math.log(1 - random.nextDouble());
-      double work = workMilliseconds * (CONSTANT_WORK + (1 - CONSTANT_WORK) * exponential);
       long startedAt = now;
-      after(work * pace, () -> end(call, Duration.ofNanos(now - startedAt)));
+      after(call.workMilliseconds * pace, () -> end(call, Duration.ofNanos(now - startedAt)));
     }
 
+    /** The report leaves with the head of the answer, just before the slot becomes free. */
     private void end(Call call, Duration latency) {
-      apply(admission.recordAnswer(ROUTE, latency));
+      tracker.recordStatement(OptionalInt.of((int) (100 * pace / slowness)));
+      tracker.recordAnswer(latency);
       LoadReport report = load();
+      apply(admission.recordAnswer(ROUTE, latency));
       after(oneWay(call), () -> call.chooser.answered(call, this, report));
     }
 
     private LoadReport load() {
-      return admission.load();
+      return admission.load().withPace(tracker.current());
     }
 
     private double oneWay(Call call) {
@@ -234,21 +245,23 @@
     /** Sends a burst of calls close together and plans the next burst. */
     private void burst() {
       int calls = 1;
-      while (random.nextDouble() < 1 - 1 / shape.callsPerBurst()) {
+      while (arrivals.nextDouble() < 1 - 1 / shape.callsPerBurst()) {
         calls++;
       }
       for (int call = 0; call < calls; call++) {
-        after(random.nextDouble() * SPREAD_OF_BURST_MILLISECONDS, this::call);
+        after(arrivals.nextDouble() * SPREAD_OF_BURST_MILLISECONDS, this::call);
       }
       double callsPerMillisecond =
           shape.load() * shape.slots() * shape.upstreams() / shape.meanCallMilliseconds();
       double interval = shape.callsPerBurst() * shape.choosers() / callsPerMillisecond;
-      after(-Math.log(1 - random.nextDouble()) * interval, this::burst);
+      after(-Math.log(1 - arrivals.nextDouble()) * interval, this::burst);
     }
 
     private void call() {
       figures.recordCall(isMeasured());
-      send(new Call(this, instant().plus(shape.deadline())));
+      double exponential = -Math.log(1 - arrivals.nextDouble());
+      double work = workMilliseconds * (CONSTANT_WORK + (1 - CONSTANT_WORK) * exponential);
+      send(new Call(this, work, instant().plus(shape.deadline())));
     }
 
     private void send(Call call) {
