--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -209,7 +209,7 @@
         new CallerAuthentication(
             dialect.headers(), control.freshness(), settings.revocation(), clock),
         loads,
-        new UpstreamSelection(loads),
+        new UpstreamSelection(loads, settings.limits().balancing()),
         new RetryPolicy(
             RetryBudgets.of(
                 () ->
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
@@ -75,4 +75,17 @@
         .extracting(problem -> problem.location().path())
         .containsExactly("platformBounds");
   }
+
+  /** Guards against a misspelt balancing that silently means the default. */
+  @Test
+  void shouldReportAnUnknownBalancing() {
+    List<Problem> problems =
+        DaemonSettings.parse("daemon.yaml", "limits: {balancing: expected}\n").getLeft();
+
+    assertThat(problems)
+        .filteredOn(problem -> problem.location().path().equals("limits.balancing"))
+        .singleElement()
+        .satisfies(
+            problem -> assertThat(problem.toString()).contains("two-choices or expected-end"));
+  }
 }
