--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamChoice.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamChoice.java
@@ -12,7 +12,6 @@
 import org.parsleycart.decision.membership.RendezvousHash;
 import org.parsleycart.decision.routing.Candidate;
 import org.parsleycart.decision.routing.CandidatePool;
-import org.parsleycart.decision.routing.UpstreamDirectory;
 import org.parsleycart.decision.routing.VersionChoice;
 import org.parsleycart.model.Service;
 
@@ -56,16 +55,8 @@
     VersionChoice choice =
         VersionChoice.of(
             request.configuration(), service, dependencies.state().facts(), versionRandom);
-    UpstreamDirectory directory = dependencies.state().directory();
     Optional<Candidate> candidate =
-        choose(directory.pool(service.name(), choice.versions()))
-            .or(
-                () ->
-                    choice
-                        .fallback()
-                        .flatMap(
-                            fallbackVersions ->
-                                choose(directory.pool(service.name(), fallbackVersions))));
+        choice.firstOf(dependencies.state().directory(), service.name(), this::choose);
     candidate.ifPresent(chosen -> tried.add(chosen.identifier()));
     return candidate;
   }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -6,9 +6,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 
@@ -35,13 +33,6 @@
    */
   private static final Duration STANDING_QUEUE_AGE = Duration.ofMillis(200);
 
-  /**
-   * After this time without a started call on a route, one call is admitted whatever the usual
-   * latency of the route. Otherwise an upstream that was slow for a while could never be observed
-   * to have recovered.
-   */
-  private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
-
   /** The calls that run at once until an answer can have stated a rate. */
   private static final int MAXIMUM_RUNNING_BEFORE_STATED_RATE = 2;
 
@@ -53,7 +44,7 @@
   private final ColdStartRateLimiter coldStartLimiter;
   private final StatedRateLimiter statedRateLimiter;
   private final MeanLatency meanLatency = new MeanLatency();
-  private final Map<String, Instant> lastStartByRoute = new HashMap<>();
+  private final ExpectedLatency expectedLatency;
   private int running;
   private Instant coldSince;
   private Instant queueLastEmptyAt;
@@ -75,6 +66,7 @@
     this.settings = requireNonNull(settings, "settings is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.limit = settings.newLimit(slots);
+    this.expectedLatency = new ExpectedLatency(limit);
     this.coldSince = clock.instant();
     this.queueLastEmptyAt = coldSince;
     this.coldStartLimiter = new ColdStartRateLimiter(OptionalDouble.empty(), coldSince);
@@ -104,22 +96,11 @@
    */
   public synchronized AdmissionDecision<C> offer(AdmissionRequest<C> request) {
     requireNonNull(request, "request is null");
-    if (closedReason.isPresent()) {
-      return AdmissionDecision.ofRefusal(request, closedReason.get());
-    }
-    Instant now = clock.instant();
-    if (!coldStartLimiter.isStartAllowed(now)) {
-      return AdmissionDecision.ofRefusal(request, RefusalReason.COLD);
-    }
-    if (!statedRateLimiter.isStartAllowed(now)) {
-      return AdmissionDecision.ofRefusal(request, RefusalReason.RATE_LIMITED);
-    }
-    queueLastEmptyAt = queue.isEmpty() ? now : queueLastEmptyAt;
-    Optional<RefusalReason> lateReason =
-        lateReason(request, now.plus(expectedWait(request)), queue.size());
-    if (lateReason.isPresent()) {
-      return AdmissionDecision.ofRefusal(request, lateReason.get());
+    Optional<RefusalReason> refusalReason = refusalReason(request);
+    if (refusalReason.isPresent()) {
+      return AdmissionDecision.ofRefusal(request, refusalReason.get());
     }
+    queueLastEmptyAt = queue.isEmpty() ? clock.instant() : queueLastEmptyAt;
     List<AdmissionDecision.Refusal<C>> refusals = new ArrayList<>();
     queue.add(request);
     List<AdmissionRequest<C>> admitted = admitQueued(refusals);
@@ -298,7 +279,7 @@
         queue.recordStart(next);
         coldStartLimiter.recordStart(now);
         statedRateLimiter.recordStart(now);
-        lastStartByRoute.put(next.route(), now);
+        expectedLatency.recordStart(next.route(), now);
         admitted.add(next);
       }
     }
@@ -311,12 +292,26 @@
         : Math.min(limit.current(), MAXIMUM_RUNNING_BEFORE_STATED_RATE);
   }
 
+  /** Returns the reason to refuse a request without queueing it, empty if there is none. */
+  private Optional<RefusalReason> refusalReason(AdmissionRequest<?> request) {
+    Instant now = clock.instant();
+    if (closedReason.isPresent()) {
+      return closedReason;
+    }
+    if (!coldStartLimiter.isStartAllowed(now)) {
+      return Optional.of(RefusalReason.COLD);
+    }
+    return statedRateLimiter.isStartAllowed(now)
+        ? lateReason(request, now.plus(expectedWait(request)), queue.size())
+        : Optional.of(RefusalReason.RATE_LIMITED);
+  }
+
   /**
    * Returns how long the queued requests that run before this one keep all slots busy, at the usual
    * latency of the route of this one. The long queue of one organisation does not delay the first
    * requests of another, so it does not count against them.
    */
-  private Duration expectedWait(AdmissionRequest<C> request) {
+  private Duration expectedWait(AdmissionRequest<?> request) {
     if (running < maximumRunning()) {
       return Duration.ZERO;
     }
@@ -333,8 +328,8 @@
    * requests that can still be answered in time.
    */
   private Optional<RefusalReason> lateReason(
-      AdmissionRequest<C> request, Instant start, int otherQueuedRequests) {
-    Instant end = start.plus(expectedLatency(request.route()));
+      AdmissionRequest<?> request, Instant start, int otherQueuedRequests) {
+    Instant end = start.plus(expectedLatency.of(request.route(), clock.instant()));
     if (end.isAfter(request.deadline())) {
       return Optional.of(RefusalReason.DEADLINE);
     }
@@ -343,18 +338,25 @@
         : Optional.empty();
   }
 
-  private Duration expectedLatency(String route) {
-    Instant lastStart = lastStartByRoute.getOrDefault(route, Instant.EPOCH);
-    boolean isProbeDue = lastStart.plus(PROBE_INTERVAL).isBefore(clock.instant());
-    return isProbeDue ? Duration.ZERO : limit.usualLatency(route);
-  }
-
   private boolean isQueueStanding() {
     return clock.instant().isAfter(queueLastEmptyAt.plus(STANDING_QUEUE_AGE));
   }
 
   // -- queries
 
+  /**
+   * Returns the reason for which {@link #offer} would refuse a request now, which is not offered.
+   */
+  public synchronized Optional<RefusalReason> expectedRefusal(AdmissionRequest<?> request) {
+    requireNonNull(request, "request is null");
+    boolean isDropped =
+        running >= maximumRunning()
+            && queue.size() >= settings.queueLength()
+            && queue.wouldDrop(request);
+    return refusalReason(request)
+        .or(() -> isDropped ? Optional.of(RefusalReason.QUEUE_FULL) : Optional.empty());
+  }
+
   /** Returns the number of started calls that have not ended. */
   public synchronized int running() {
     return running;
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/FairQueue.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/FairQueue.java
@@ -65,7 +65,7 @@
    * Returns how many queued requests would run before the given request if it were queued and no
    * others arrived.
    */
-  long countAhead(AdmissionRequest<C> request) {
+  long countAhead(AdmissionRequest<?> request) {
     requireNonNull(request, "request is null");
     PriorityQueue<AdmissionRequest<C>> own =
         queuesByOrganisation.getOrDefault(request.organisation(), new PriorityQueue<>());
@@ -77,7 +77,7 @@
 
   /** Returns how many requests of one organisation run before a request of the given round. */
   private long countAhead(
-      PriorityQueue<AdmissionRequest<C>> queue, AdmissionRequest<C> request, long round) {
+      PriorityQueue<AdmissionRequest<C>> queue, AdmissionRequest<?> request, long round) {
     Optional<String> organisation = queue.peek().organisation();
     long inHigherRanks =
         queue.stream().filter(queued -> queued.priority() < request.priority()).count();
@@ -93,7 +93,7 @@
 
   /** Returns how many of the requests have the rank of the given one and are due no later. */
   private static <C> long countDueBefore(
-      PriorityQueue<AdmissionRequest<C>> queue, AdmissionRequest<C> request) {
+      PriorityQueue<AdmissionRequest<C>> queue, AdmissionRequest<?> request) {
     return queue.stream()
         .filter(queued -> queued.priority() == request.priority())
         .filter(queued -> !queued.deadline().isAfter(request.deadline()))
@@ -106,7 +106,7 @@
         .thenComparing(AdmissionRequest::deadline);
   }
 
-  private long firstRound(AdmissionRequest<C> request) {
+  private long firstRound(AdmissionRequest<?> request) {
     return firstRound(request.priority(), request.organisation());
   }
 
@@ -117,9 +117,7 @@
 
   /** Returns the queued requests in the order in which they are to run. */
   List<AdmissionRequest<C>> inOrder() {
-    FairQueue<C> copy = new FairQueue<>();
-    stream().forEach(copy::add);
-    servedByRank.forEach((rank, served) -> copy.servedByRank.put(rank, new HashSet<>(served)));
+    FairQueue<C> copy = copy();
     List<AdmissionRequest<C>> ordered = new ArrayList<>();
     for (Optional<AdmissionRequest<C>> next = copy.poll(); next.isPresent(); next = copy.poll()) {
       copy.recordStart(next.get());
@@ -128,6 +126,39 @@
     return ordered;
   }
 
+  /**
+   * Returns whether a request would be the one to drop if it were queued and the queue too long.
+   */
+  boolean wouldDrop(AdmissionRequest<?> request) {
+    // Any queued call can stand for that of the request, because the order does not depend on it.
+    Optional<C> anyCall = stream().map(AdmissionRequest::call).findFirst();
+    return anyCall
+        .map(
+            call ->
+                new AdmissionRequest<>(
+                    call,
+                    request.priority(),
+                    request.route(),
+                    request.softDeadline(),
+                    request.deadline(),
+                    request.organisation()))
+        .map(this::isDroppedFromCopy)
+        .orElse(true);
+  }
+
+  private boolean isDroppedFromCopy(AdmissionRequest<C> request) {
+    FairQueue<C> copy = copy();
+    copy.add(request);
+    return copy.removeLast().equals(request);
+  }
+
+  private FairQueue<C> copy() {
+    FairQueue<C> copy = new FairQueue<>();
+    stream().forEach(copy::add);
+    servedByRank.forEach((rank, served) -> copy.servedByRank.put(rank, new HashSet<>(served)));
+    return copy;
+  }
+
   // -- updates
 
   void add(AdmissionRequest<C> request) {
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
@@ -23,6 +23,21 @@
         : loadsByUpstream.computeIfAbsent(candidate.identifier(), unused -> new UpstreamLoad());
   }
 
+  /** Returns the number of upstreams that have a load. */
+  int size() {
+    return loadsByUpstream.size();
+  }
+
+  /**
+   * Returns a table with the same loads for trial decisions. Loads that are created in it are not
+   * created here.
+   */
+  UpstreamLoadTable copy() {
+    UpstreamLoadTable copy = new UpstreamLoadTable();
+    copy.loadsByUpstream.putAll(loadsByUpstream);
+    return copy;
+  }
+
   // -- updates
 
   /**
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/VersionChoice.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/VersionChoice.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.parsleycart.decision.spreading.UrgentFacts;
 import org.parsleycart.model.Configuration;
@@ -55,6 +56,20 @@
         oldVersion, isNewVersionFallback ? Optional.of(newVersion) : Optional.empty());
   }
 
+  /**
+   * Chooses an upstream among the selected versions, or among the fallback if that finds none.
+   *
+   * @param choose chooses an upstream of a pool, empty if it finds none
+   */
+  public Optional<Candidate> firstOf(
+      UpstreamDirectory directory,
+      String service,
+      Function<CandidatePool, Optional<Candidate>> choose) {
+    return choose
+        .apply(directory.pool(service, versions))
+        .or(() -> fallback.flatMap(other -> choose.apply(directory.pool(service, other))));
+  }
+
   private static VersionChoice withoutRollout(Configuration configuration, Service service) {
     VersionSelector currentVersions = currentVersions(configuration, service);
     return configuration
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/admission/FairQueueTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/admission/FairQueueTest.java
@@ -188,17 +188,16 @@
     private final AdmissionControl<String> admission =
         new AdmissionControl<>(new AdmissionSettings(2, 20, true), 2, clock);
 
-    private AdmissionDecision<String> offer(
+    private AdmissionRequest<String> newRequest(
         String organisation, int index, String route, long milliseconds) {
       Instant deadline = clock.instant().plusMillis(milliseconds);
-      return admission.offer(
-          new AdmissionRequest<>(
-              organisation + "-" + index,
-              RANK,
-              route,
-              deadline,
-              deadline,
-              Optional.of(organisation)));
+      return new AdmissionRequest<>(
+          organisation + "-" + index, RANK, route, deadline, deadline, Optional.of(organisation));
+    }
+
+    private AdmissionDecision<String> offer(
+        String organisation, int index, String route, long milliseconds) {
+      return admission.offer(newRequest(organisation, index, route, milliseconds));
     }
 
     @BeforeEach
@@ -244,6 +243,22 @@
           .containsExactly("small-2", "loud-3", "loud-4");
     }
 
+    /** Guards against a preview that differs from the offer, or that changes the queue. */
+    @Test
+    void shouldExpectTheRefusalOfAnOfferWithoutOfferingIt() {
+      List<AdmissionRequest<String>> queuedBefore = admission.queuedRequests();
+
+      assertThat(admission.expectedRefusal(newRequest("loud", 23, "report", 1_000)))
+          .contains(RefusalReason.DEADLINE);
+      assertThat(admission.expectedRefusal(newRequest("loud", 23, "lookup", 900)))
+          .contains(RefusalReason.QUEUE_FULL);
+      assertThat(admission.expectedRefusal(newRequest("small", 0, "lookup", 900))).isEmpty();
+
+      assertThat(admission.queuedRequests()).isEqualTo(queuedBefore);
+      assertThat(refused(offer("loud", 23, "lookup", 900))).containsExactly("loud-23 queue-full");
+      assertThat(refused(offer("small", 0, "lookup", 900))).containsExactly("loud-22 queue-full");
+    }
+
     @Test
     void shouldRefuseTheQueuedCallsOfAllOrganisationsWhenClosed() {
       offer("small", 0, "lookup", 400);
