Answer at the operators' address where a request would go

GET /explain takes host, path, method, zone, organisation, deadline and tried upstreams, and answers with the route, its contract, the services, versions and upstreams, the exclusions, and the refusals that the request would meet: no upstream, or the admission of an upstream beside the daemon. Unknown routes, daemons that are not ready and malformed questions get 404, 503 and 400 with a reason.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -26,6 +26,7 @@
 import org.parsleycart.daemon.control.ZoneCapacity;
 import org.parsleycart.daemon.operator.ChangeAcceptor;
 import org.parsleycart.daemon.operator.ConfigurationActions;
+import org.parsleycart.daemon.operator.ExplainActions;
 import org.parsleycart.daemon.operator.OperatorHandler;
 import org.parsleycart.daemon.operator.RolloutActions;
 import org.parsleycart.daemon.operator.StatusActions;
@@ -249,6 +250,7 @@
         new ConfigurationActions(state, changeAcceptor, control.platformWorker(), capacity),
         new RolloutActions(state, changeAcceptor, clock),
         status,
+        new ExplainActions(state, control.gossip(), upstreams, loads, clock),
         new UpstreamActions(upstreams));
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.parsleycart.decision.admission.AdmissionControl;
 import org.parsleycart.decision.admission.AdmissionDecision;
+import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.AdmissionSettings;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
@@ -298,6 +299,17 @@
     return Optional.ofNullable(upstreams.get(identifier));
   }
 
+  /** Returns the reason for which a request would be refused now, without offering it. */
+  public Optional<RefusalReason> expectedRefusal(String identifier, AdmissionRequest<?> request) {
+    Optional<LocalUpstream> upstream = find(identifier);
+    if (upstream.isEmpty()) {
+      return Optional.of(RefusalReason.UPSTREAM_GONE);
+    }
+    return upstream.get().announced().draining()
+        ? Optional.of(RefusalReason.DRAINING)
+        : upstream.get().admission().expectedRefusal(request);
+  }
+
   /** Returns the upstreams to announce to other daemons. */
   public List<AnnouncedUpstream> announced() {
     return upstreams.values().stream().map(LocalUpstream::announced).toList();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
@@ -53,6 +53,7 @@
       ConfigurationActions configuration,
       RolloutActions rollouts,
       StatusActions status,
+      ExplainActions explanations,
       UpstreamActions upstreams) {
     requireNonNull(configuration, "configuration is null");
     this.actions =
@@ -63,6 +64,7 @@
             action("GET /status", status::status),
             action("GET /events", status::events),
             action("GET /in-force", status::inForce),
+            action("GET /explain", explanations::explain),
             action("GET /configuration", configuration::read),
             action("GET /history", configuration::history),
             action("POST /changes", configuration::accept),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorResponse.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorResponse.java
@@ -4,6 +4,7 @@
 
 import io.undertow.util.StatusCodes;
 import java.util.List;
+import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.JsonDocuments;
 import org.parsleycart.store.AcceptanceError;
@@ -38,6 +39,17 @@
     return new OperatorResponse(status, JSON, JsonDocuments.format(document));
   }
 
+  /** Returns the answer that the request asked about would be refused for the given reason. */
+  static OperatorResponse refused(RefusalReason reason, String message) {
+    Document.Mapping document =
+        Document.mapping()
+            .with("error", message)
+            .with("reason", reason.toString())
+            .with("details", Document.texts(List.of()))
+            .build();
+    return new OperatorResponse(reason.statusCode(), JSON, JsonDocuments.format(document));
+  }
+
   static OperatorResponse error(AcceptanceError error) {
     if (error instanceof AcceptanceError.Invalid invalid) {
       List<String> details = invalid.violations().stream().map(Object::toString).toList();
