--- a/parsleycart-command/src/main/java/org/parsleycart/command/CommandMain.java
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/CommandMain.java
@@ -33,7 +33,9 @@
       "1:refused by a daemon, or rolled back or aborted",
       "2:invalid input",
       "3:no daemon reachable, or the platform does not answer",
-      "4:accepted, but not yet in force everywhere"
+      "4:accepted, but not yet in force everywhere",
+      "5:no route for the request asked about",
+      "6:no daemon is ready to serve requests"
     })
 public final class CommandMain {
 
--- a/parsleycart-command/src/main/java/org/parsleycart/command/DaemonClient.java
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/DaemonClient.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.link.LinkError;
 import org.parsleycart.link.http.HttpClient;
 import org.parsleycart.link.http.HttpRequest;
@@ -43,11 +45,13 @@
   /** Returns the answer with status 200, or an error if all daemons failed or one refused. */
   Either<CommandError, HttpResponse> send(HttpRequest request) {
     List<String> failures = new ArrayList<>();
+    Optional<ExitCode> exitCode = Optional.empty();
     for (String daemon : daemons) {
       Either<LinkError, HttpResponse> answer = client.send(daemon, request, timeout);
       if (answer.isRight() && answer.get().status() < FIRST_SERVER_ERROR) {
         return toResult(answer.get());
       }
+      exitCode = exitCode.or(() -> answer.toJavaOptional().flatMap(DaemonClient::exitCodeByReason));
       failures.add(
           answer.fold(
               LinkError::message,
@@ -55,7 +59,7 @@
     }
     return Either.left(
         new CommandError(
-            ExitCode.UNREACHABLE,
+            exitCode.orElse(ExitCode.UNREACHABLE),
             "none of the " + daemons.size() + " daemons answered without an error",
             failures));
   }
@@ -79,13 +83,22 @@
       return Either.right(answer);
     }
     boolean badInput = answer.status() == BAD_REQUEST || answer.status() == UNPROCESSABLE_CONTENT;
-    ExitCode exitCode = badInput ? ExitCode.BAD_INPUT : ExitCode.REFUSED;
+    ExitCode exitCode =
+        exitCodeByReason(answer).orElse(badInput ? ExitCode.BAD_INPUT : ExitCode.REFUSED);
     return YamlDocuments.parse("answer", answer.text())
         .fold(
             problems -> Either.left(new CommandError(exitCode, answer.text(), List.of())),
             document -> Either.left(toError(exitCode, document)));
   }
 
+  private static Optional<ExitCode> exitCodeByReason(HttpResponse answer) {
+    return YamlDocuments.parse("answer", answer.text())
+        .toJavaOptional()
+        .flatMap(document -> MappingReader.of(document, new ArrayList<>()).text("reason"))
+        .flatMap(RefusalReason::ofLabel)
+        .flatMap(ExitCode::ofReason);
+  }
+
   private static CommandError toError(ExitCode exitCode, Document document) {
     MappingReader reader = MappingReader.of(document, new ArrayList<>());
     return new CommandError(
--- a/parsleycart-command/src/main/java/org/parsleycart/command/ExplainCommand.java
+++ b/parsleycart-command/src/main/java/org/parsleycart/command/ExplainCommand.java
@@ -9,24 +9,39 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Callable;
+import org.parsleycart.link.http.HttpRequest;
+import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** Prints the log lines of all daemons about one request. */
+/**
+ * Explains a request: prints the log lines of all daemons about one that has been made, or asks a
+ * daemon where one would go now.
+ */
 @Command(
     name = "explain",
-    description =
-        "Prints the log lines of a request from the logs of all daemons, ordered by time.",
+    description = {
+      "With REQUEST: prints the log lines of a request from the logs of all daemons, ordered by"
+          + " time.",
+      "With --path: asks a daemon where such a request would go now and why. Nothing is sent to an"
+          + " upstream."
+    },
     mixinStandardHelpOptions = true)
-final class ExplainCommand implements Callable<Integer> {
+final class ExplainCommand extends DaemonCommand {
   private static final String STANDARD_INPUT = "standard input";
 
-  @Parameters(index = "0", paramLabel = "REQUEST", description = "The request's identifier.")
+  @Parameters(
+      index = "0",
+      arity = "0..1",
+      paramLabel = "REQUEST",
+      description = "The identifier of a request that has been made.")
   private String request;
 
+  @ArgGroup(exclusive = false, heading = "A request that has not been made:%n")
+  private ExplainQuery query;
+
   @Parameters(
       index = "1..*",
       arity = "0..*",
@@ -37,8 +52,13 @@
   @Spec private CommandSpec spec;
 
   @Override
-  public Integer call() {
-    return read().flatMap(this::timeline).fold(this::report, this::print);
+  Either<CommandError, ExitCode> run(DaemonClient client) {
+    if ((request == null) == (query == null)) {
+      return Either.left(error("either REQUEST or --path is needed"));
+    }
+    return query == null
+        ? read().flatMap(this::timeline).map(this::print)
+        : requestAndPrint(client, HttpRequest.of("GET", "/explain" + query.toParameters()));
   }
 
   private Either<CommandError, List<LogLine>> read() {
@@ -83,12 +103,7 @@
     return new CommandError(ExitCode.BAD_INPUT, message, List.of());
   }
 
-  private int report(CommandError error) {
-    CommandMain.printError(spec.commandLine(), error);
-    return error.exitCode().code();
-  }
-
-  private int print(RequestTimeline timeline) {
+  private ExitCode print(RequestTimeline timeline) {
     timeline
         .lines()
         .forEach(
@@ -104,6 +119,6 @@
                             + "  "
                             + line.details()));
     spec.commandLine().getOut().flush();
-    return ExitCode.DONE.code();
+    return ExitCode.DONE;
   }
 }
