Compare each candidate of a choice once

Cause: the comparator estimated both sides of each comparison anew, and candidates were collected in a map that hashed them whole. Change: each candidate is estimated once.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
@@ -4,12 +4,9 @@
 
 import java.time.Instant;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
@@ -44,6 +41,8 @@
   private final Balancing balancing;
   private final EndEstimator estimator;
 
+  private record CostOfChoice(Candidate candidate, double cost) {}
+
   // -- construction
 
   /** Creates a selection by two choices. */
@@ -97,22 +96,23 @@
       Instant now,
       Instant deadline,
       RandomGenerator random) {
-    Map<Candidate, Boolean> compared = new LinkedHashMap<>();
-    Consumer<Candidate> local = candidate -> compared.put(candidate, true);
-    Consumer<Candidate> other = candidate -> compared.putIfAbsent(candidate, false);
-    sample(pool.localZone(), isUsable, random).forEach(local);
-    sample(pool.otherZones(), isUsable, random).forEach(other);
-    pool.all().findFirst().map(loads::ofService).stream()
-        .flatMap(service -> service.recentUpstreams().stream())
-        .flatMap(upstream -> pool.find(upstream).stream())
-        .filter(isUsable)
-        .forEach(candidate -> (pool.isInLocalZone(candidate) ? local : other).accept(candidate));
-    return compared.entrySet().stream()
-        .min(
-            Comparator.comparingDouble(
-                entry ->
-                    estimator.estimate(entry.getKey(), entry.getValue(), now, deadline).cost()))
-        .map(Map.Entry::getKey);
+    Stream<Candidate> drawn =
+        Stream.concat(
+            sample(pool.localZone(), isUsable, random),
+            sample(pool.otherZones(), isUsable, random));
+    Stream<Candidate> recent =
+        pool.all().findFirst().map(loads::ofService).stream()
+            .flatMap(service -> service.recentUpstreams().stream())
+            .flatMap(upstream -> pool.find(upstream).stream())
+            .filter(isUsable);
+    return Stream.concat(drawn, recent)
+        .map(candidate -> new CostOfChoice(candidate, cost(pool, candidate, now, deadline)))
+        .min(Comparator.comparingDouble(CostOfChoice::cost))
+        .map(CostOfChoice::candidate);
+  }
+
+  private double cost(CandidatePool pool, Candidate candidate, Instant now, Instant deadline) {
+    return estimator.estimate(candidate, pool.isInLocalZone(candidate), now, deadline).cost();
   }
 
   /**
