--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -106,6 +106,7 @@
         AttemptRecord.of(
             candidate.get(), load, dependencies.state().zone(), dependencies.clock().instant()));
     load.recordStart();
+    dependencies.metrics().recordAttempt(dependencies.state().zone(), candidate.get().zone());
     if (candidate.get().daemonIdentifier().equals(dependencies.daemonIdentifier())) {
       dependencies.metrics().recordLocalAttempt();
       admitLocally(body, candidate.get(), load);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallMetrics.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallMetrics.java
@@ -17,6 +17,7 @@
   private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
   private final Counter retries;
   private final Counter localAttempts;
+  private final Counter otherZoneAttempts;
   private final Counter coldReturns;
   private final Counter callerDisconnects;
 
@@ -53,6 +54,10 @@
         Counter.builder("parsleycart.local.hops")
             .description("Attempts to an upstream beside the entry")
             .register(registry);
+    otherZoneAttempts =
+        Counter.builder("parsleycart.other.zone.attempts")
+            .description("Attempts to an upstream in another zone")
+            .register(registry);
     coldReturns =
         Counter.builder("parsleycart.cold.returns")
             .description("Times that an upstream returned to cold start")
@@ -80,6 +85,13 @@
     localAttempts.increment();
   }
 
+  /** Counts an attempt at an upstream if that is in another zone than the entry. */
+  public void recordAttempt(String entryZone, String upstreamZone) {
+    if (!entryZone.equals(upstreamZone)) {
+      otherZoneAttempts.increment();
+    }
+  }
+
   /** Counts a caller that disconnected before its response. */
   public void recordCallerDisconnect() {
     callerDisconnects.increment();
