--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/ControlMessage.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/ControlMessage.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.parsleycart.decision.membership.MemberRecord;
+import org.parsleycart.decision.usage.DaemonUsage;
 
 /**
  * A message between two daemons.
@@ -131,6 +132,23 @@
     }
   }
 
+  /** Requests the counts of the usage duty for some windows. */
+  record UsageRequest(List<Long> windows) implements ControlMessage {
+    public UsageRequest {
+      windows = List.copyOf(windows);
+    }
+  }
+
+  /**
+   * Carries the counts of the receiver, and its wall clock in milliseconds. A requested window
+   * without counts had no requests.
+   */
+  record UsageAnswer(DaemonUsage usage, long wallMilliseconds) implements ControlMessage {
+    public UsageAnswer {
+      requireNonNull(usage, "usage is null");
+    }
+  }
+
   /** Reports that a request could not be answered. */
   record Failure(String reason) implements ControlMessage {
     public Failure {
