Carry usage counts between daemons and post reports

Cause: the duty needs the counts of all daemons, and the platform's path, headers and body. A client for reports resets its connections on close, so that a report that timed out cannot arrive after the lease has gone to another daemon.

--- a/parsleycart-link/src/main/java/org/parsleycart/link/MessageType.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/MessageType.java
@@ -17,7 +17,10 @@
 import org.parsleycart.decision.message.ControlMessage.MembershipAnswer;
 import org.parsleycart.decision.message.ControlMessage.MembershipRequest;
 import org.parsleycart.decision.message.ControlMessage.Probe;
+import org.parsleycart.decision.message.ControlMessage.UsageAnswer;
+import org.parsleycart.decision.message.ControlMessage.UsageRequest;
 import org.parsleycart.decision.message.EncodedSnapshot;
+import org.parsleycart.decision.usage.DaemonUsage;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.MappingReader;
 import org.parsleycart.model.document.Problem;
@@ -218,6 +221,37 @@
       return EvidenceCodec.read(reader, problems);
     }
   },
+  USAGE_REQUEST("usage-request", UsageRequest.class) {
+    @Override
+    void write(ControlMessage message, Document.MappingBuilder builder) {
+      UsageRequest request = (UsageRequest) message;
+      builder.with(
+          "windows", Document.sequence(request.windows().stream().map(Document::scalar).toList()));
+    }
+
+    @Override
+    ControlMessage read(MappingReader reader, List<Problem> problems) {
+      return new UsageRequest(
+          reader.textItems("windows").stream()
+              .filter(text -> text.matches("-?[0-9]{1,18}"))
+              .map(Long::valueOf)
+              .toList());
+    }
+  },
+  USAGE_ANSWER("usage-answer", UsageAnswer.class) {
+    @Override
+    void write(ControlMessage message, Document.MappingBuilder builder) {
+      UsageAnswer answer = (UsageAnswer) message;
+      answer.usage().write(builder);
+      builder.with("wall", answer.wallMilliseconds());
+    }
+
+    @Override
+    ControlMessage read(MappingReader reader, List<Problem> problems) {
+      return new UsageAnswer(
+          DaemonUsage.read(reader), reader.requiredNumber("wall", 0, Long.MAX_VALUE));
+    }
+  },
   FAILURE("failure", Failure.class) {
     @Override
     void write(ControlMessage message, Document.MappingBuilder builder) {
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
@@ -38,13 +38,15 @@
   private static final int IDLE_CONNECTIONS_PER_ADDRESS = 64;
 
   private final XnioWorker worker;
+  private final OptionMap connectionOptions;
   private final ByteBufferPool pool = new DefaultByteBufferPool(false, BUFFER_BYTES);
   private final Map<String, Deque<BoundedConnection>> idle = new ConcurrentHashMap<>();
 
   // -- construction
 
-  private HttpClient(XnioWorker worker) {
+  private HttpClient(XnioWorker worker, OptionMap connectionOptions) {
     this.worker = worker;
+    this.connectionOptions = connectionOptions;
   }
 
   /**
@@ -53,6 +55,21 @@
    * @param threads the number of I/O threads
    */
   public static HttpClient start(int threads) {
+    return start(threads, OptionMap.EMPTY);
+  }
+
+  /**
+   * Starts a client whose connections are reset when they are closed. Bytes of a request that timed
+   * out and that the operating system has not sent yet are then never sent, also when a link
+   * recovers later.
+   *
+   * @param threads the number of I/O threads
+   */
+  public static HttpClient startResettingOnClose(int threads) {
+    return start(threads, OptionMap.create(Options.CLOSE_ABORT, true));
+  }
+
+  private static HttpClient start(int threads, OptionMap connectionOptions) {
     try {
       XnioWorker worker =
           Xnio.getInstance()
@@ -65,7 +82,7 @@
                       .set(Options.TCP_NODELAY, true)
                       .set(Options.WORKER_NAME, "http-client")
                       .getMap());
-      return new HttpClient(worker);
+      return new HttpClient(worker, connectionOptions);
     } catch (IOException e) {
       throw new IllegalStateException("I/O threads of the HTTP client could not be started", e);
     }
@@ -113,9 +130,12 @@
       return pooled;
     }
     CompletableFuture<BoundedConnection> opened = new CompletableFuture<>();
-    new BoundedConnector(
-            worker.getIoThread(), pool, OptionMap.create(UndertowOptions.ENABLE_HTTP2, false))
-        .connect(address, callback(opened));
+    OptionMap options =
+        OptionMap.builder()
+            .addAll(connectionOptions)
+            .set(UndertowOptions.ENABLE_HTTP2, false)
+            .getMap();
+    new BoundedConnector(worker.getIoThread(), pool, options).connect(address, callback(opened));
     return await(opened, deadline);
   }
 
