Report usage from the daemon that holds the lease

Cause: nothing in the daemon counted requests by organisation or reported them. Change: admission records each request with an organisation when it sends it to the upstream, and withdraws it if the upstream did not run it. A daemon that stops gives the lease back and stores its counts. The settings section duty turns this on; without the duty usage there are no thread, no calls and no counts.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
@@ -10,6 +10,7 @@
 import org.parsleycart.daemon.control.GossipWorker;
 import org.parsleycart.daemon.control.InForceSurvey;
 import org.parsleycart.daemon.control.LocalEvidence;
+import org.parsleycart.daemon.control.LocalUsage;
 import org.parsleycart.daemon.control.PeerDiscovery;
 import org.parsleycart.daemon.control.PeerSyncWorker;
 import org.parsleycart.daemon.control.PlatformFeedWorker;
@@ -76,6 +77,7 @@
       MeshState state,
       UpstreamLoadTable loads,
       LocalEvidence localEvidence,
+      LocalUsage localUsage,
       InstantSource clock)
       throws IOException {
     EnvelopeCodec envelopeCodec = new EnvelopeCodec(peerKeys);
@@ -111,7 +113,7 @@
             new Random());
     InForceSurvey survey = new InForceSurvey(state, frameClient);
     ControlRequestHandler requestHandler =
-        new ControlRequestHandler(state, gossip, survey, localEvidence);
+        new ControlRequestHandler(state, gossip, survey, localEvidence, localUsage);
     return new ControlComponents(
         envelopeCodec,
         counters,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.parsleycart.daemon.call.CallServer;
 import org.parsleycart.daemon.call.ConnectionPools;
+import org.parsleycart.daemon.control.UsageWorker;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.daemon.settings.ListenAddresses;
 import org.parsleycart.decision.admission.RefusalReason;
@@ -101,6 +102,7 @@
         .control()
         .gossip()
         .submit((protocol, pullPlanner) -> protocol.announceSelf(MemberStatus.LEFT, List.of()));
+    components.usageWorker().ifPresent(UsageWorker::beginStop);
     Instant shutdownStart = components.clock().instant();
     ShutdownSchedule schedule = ShutdownSchedule.of(settings.limits());
     waitUntil(shutdownStart.plus(schedule.closeUpstreamsAfter()), false);
@@ -109,6 +111,7 @@
     refuseNewCalls();
     waitUntil(shutdownStart.plus(schedule.abortCallsAfter()), true);
     int abortedCalls = components.upstreams().runningCalls();
+    components.usageWorker().ifPresent(UsageWorker::storeCounts);
     server.stop();
     components.stopWorkers();
     closeFrameServer();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.parsleycart.daemon.call.AdmissionHandler;
 import org.parsleycart.daemon.call.AdmissionService;
@@ -20,9 +21,11 @@
 import org.parsleycart.daemon.call.UpstreamLifecycleHandler;
 import org.parsleycart.daemon.control.DepartureRegister;
 import org.parsleycart.daemon.control.LocalEvidence;
+import org.parsleycart.daemon.control.LocalUsage;
 import org.parsleycart.daemon.control.MaintenanceWorker;
 import org.parsleycart.daemon.control.RolloutChangeWriter;
 import org.parsleycart.daemon.control.RolloutWorker;
+import org.parsleycart.daemon.control.UsageWorker;
 import org.parsleycart.daemon.control.ZoneCapacity;
 import org.parsleycart.daemon.operator.ChangeAcceptor;
 import org.parsleycart.daemon.operator.ConfigurationActions;
@@ -43,6 +46,7 @@
 import org.parsleycart.decision.routing.UpstreamSelection;
 import org.parsleycart.decision.spreading.ConfigurationLog;
 import org.parsleycart.decision.spreading.UrgentFacts;
+import org.parsleycart.decision.usage.UsageRecorder;
 import org.parsleycart.link.PeerKeys;
 import org.parsleycart.link.dialect.Dialect;
 
@@ -57,6 +61,7 @@
  * @param maintenance maintains the upstreams next to the daemon
  * @param rolloutWorker evaluates rollouts
  * @param departures stores the departures of the upstreams next to the daemon
+ * @param usageWorker takes part in the usage duty, empty if the settings do not ask for it
  * @param entryHandler handles calls from callers
  * @param admissionHandler handles calls from other daemons
  * @param operatorHandler handles requests of operators
@@ -71,6 +76,7 @@
     MaintenanceWorker maintenance,
     RolloutWorker rolloutWorker,
     DepartureRegister departures,
+    Optional<UsageWorker> usageWorker,
     HttpHandler entryHandler,
     HttpHandler admissionHandler,
     HttpHandler operatorHandler) {
@@ -94,13 +100,16 @@
     UpstreamLoadTable loads = new UpstreamLoadTable();
     LocalUpstreams upstreams = new LocalUpstreams(admissionSettings(settings.limits()), clock);
     LocalEvidence localEvidence = new LocalEvidence(telemetry.callStatistics(), upstreams);
+    LocalUsage localUsage = UsageComponents.localUsage(settings, clock);
     ControlComponents control =
-        ControlComponents.create(settings, peerKeys, state, loads, localEvidence, clock);
+        ControlComponents.create(
+            settings, peerKeys, state, loads, localEvidence, localUsage, clock);
     ChangeAcceptor changeAcceptor = new ChangeAcceptor(control.authority(), control.gossip());
     Forwarder forwarder = new Forwarder(pools, clock);
     CallSigner signer = new CallSigner(peerKeys);
     Dialect dialect = settings.dialect().create();
-    AdmissionService admission = admission(state, upstreams, forwarder, dialect, telemetry, clock);
+    AdmissionService admission =
+        admission(state, upstreams, forwarder, dialect, telemetry, localUsage.recorder(), clock);
     EntryDependencies entryDependencies =
         entryDependencies(
             settings, dialect, state, loads, admission, forwarder, signer, telemetry, clock);
@@ -124,15 +133,10 @@
         new MaintenanceWorker(state, upstreams, control.gossip(), telemetry.events()),
         rolloutWorker(state, control, changeAcceptor, localEvidence),
         departures,
+        UsageComponents.worker(
+            settings, control, localUsage, telemetry.registry(), state.workers()),
         callsInProgress.countingHandler(new EntryHandler(entryDependencies)),
-        new AdmissionHandler(
-            state,
-            admission,
-            signer,
-            telemetry.tracing(),
-            entryDependencies.readDelays(),
-            clock,
-            settings.limits().replayableBodyBytes()),
+        admissionHandler(settings, state, admission, signer, telemetry, entryDependencies, clock),
         new UpstreamLifecycleHandler(
             dialect,
             upstreams,
@@ -141,6 +145,24 @@
             operatorHandler(state, telemetry, control, changeAcceptor, upstreams, loads, clock)));
   }
 
+  private static HttpHandler admissionHandler(
+      DaemonSettings settings,
+      MeshState state,
+      AdmissionService admission,
+      CallSigner signer,
+      Telemetry telemetry,
+      EntryDependencies entryDependencies,
+      MonotonicClock clock) {
+    return new AdmissionHandler(
+        state,
+        admission,
+        signer,
+        telemetry.tracing(),
+        entryDependencies.readDelays(),
+        clock,
+        settings.limits().replayableBodyBytes());
+  }
+
   private static DepartureRegister departures(
       DaemonSettings settings,
       MeshState state,
@@ -176,6 +198,7 @@
       Forwarder forwarder,
       Dialect dialect,
       Telemetry telemetry,
+      UsageRecorder usage,
       MonotonicClock clock) {
     return new AdmissionService(
         state,
@@ -187,6 +210,7 @@
         telemetry.callMetrics(),
         telemetry.callStatistics(),
         telemetry.callLog(),
+        usage,
         clock);
   }
 
@@ -259,9 +283,11 @@
     maintenance.start();
     rolloutWorker.start();
     departures.start();
+    usageWorker.ifPresent(UsageWorker::start);
   }
 
   void stopWorkers() {
+    usageWorker.ifPresent(UsageWorker::stop);
     departures.stop();
     rolloutWorker.stop();
     maintenance.stop();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMetrics.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMetrics.java
@@ -8,6 +8,7 @@
 import org.parsleycart.daemon.call.LocalUpstreams;
 import org.parsleycart.daemon.control.GossipWorker;
 import org.parsleycart.daemon.control.PeerSyncWorker;
+import org.parsleycart.daemon.control.UsageStatistics;
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.link.ControlTrafficCounters;
 
@@ -42,6 +43,16 @@
     counter(registry, "gossip.dropped.commands", gossip, GossipWorker::droppedCommands);
   }
 
+  /** Registers the meters of the usage duty. */
+  static void registerUsage(MeterRegistry registry, UsageStatistics statistics) {
+    gauge(registry, "usage.token", statistics, UsageStatistics::token);
+    gauge(registry, "usage.report.age.seconds", statistics, UsageStatistics::reportAgeSeconds);
+    counter(registry, "usage.reports", statistics, UsageStatistics::reports);
+    counter(registry, "usage.report.failures", statistics, UsageStatistics::failures);
+    counter(registry, "usage.missing.daemons", statistics, UsageStatistics::missing);
+    counter(registry, "usage.abandoned.windows", statistics, UsageStatistics::abandoned);
+  }
+
   private static <T> void gauge(
       MeterRegistry registry, String name, T source, ToDoubleFunction<T> value) {
     Gauge.builder("parsleycart." + name, source, value).strongReference(true).register(registry);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -25,6 +25,7 @@
 import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.admission.UpstreamNotice;
+import org.parsleycart.decision.usage.UsageRecorder;
 import org.parsleycart.link.dialect.CallHeaderNames;
 import org.parsleycart.link.dialect.Dialect;
 import org.parsleycart.model.Service;
@@ -43,6 +44,7 @@
   private final CallMetrics metrics;
   private final CallStatistics statistics;
   private final CallLog log;
+  private final UsageRecorder usage;
   private final InstantSource clock;
   private final HopPolicy entryHop;
   private final HopPolicy relayedHop;
@@ -54,6 +56,7 @@
    *
    * @param idempotencyGuard rejects requests that repeat an idempotency key
    * @param dialect defines the header names and whether status 421 means that a call did not run
+   * @param usage records the requests that upstreams begin
    */
   public AdmissionService(
       MeshState state,
@@ -64,6 +67,7 @@
       CallMetrics metrics,
       CallStatistics statistics,
       CallLog log,
+      UsageRecorder usage,
       InstantSource clock) {
     this.state = requireNonNull(state, "state is null");
     this.upstreams = requireNonNull(upstreams, "upstreams is null");
@@ -73,6 +77,7 @@
     this.metrics = requireNonNull(metrics, "metrics is null");
     this.statistics = requireNonNull(statistics, "statistics is null");
     this.log = requireNonNull(log, "log is null");
+    this.usage = requireNonNull(usage, "usage is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.entryHop = HopPolicy.fromEntryToUpstream(dialect);
     this.relayedHop = HopPolicy.fromDaemonToUpstream(dialect);
@@ -203,11 +208,13 @@
     private final LocalUpstream upstream;
     private final LocalCall call;
     private final Instant startedAt;
+    private final long usageWindow;
 
     private AdmittedCallListener(LocalUpstream upstream, LocalCall call, Instant startedAt) {
       this.upstream = upstream;
       this.call = call;
       this.startedAt = startedAt;
+      this.usageWindow = usage.recordBegun(call.organisation());
     }
 
     @Override
@@ -274,6 +281,9 @@
 
     @Override
     public void ended(AttemptResult result) {
+      if (result.outcome() == AttemptOutcome.NOT_RUN) {
+        usage.recordNotRun(call.organisation(), usageWindow);
+      }
       Duration latency = Duration.between(startedAt, clock.instant());
       long coldReturnsBefore = upstream.admission().returnsToCold();
       AdmissionDecision<LocalCall> decision = release(result, latency);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlRequestHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlRequestHandler.java
@@ -13,6 +13,7 @@
 import org.parsleycart.decision.message.ControlMessage.InForceRequest;
 import org.parsleycart.decision.message.ControlMessage.MembershipAnswer;
 import org.parsleycart.decision.message.ControlMessage.MembershipRequest;
+import org.parsleycart.decision.message.ControlMessage.UsageRequest;
 
 /** Handles the control requests of other daemons. Safe for use by several threads. */
 public final class ControlRequestHandler implements Function<ControlMessage, ControlMessage> {
@@ -20,15 +21,21 @@
   private final GossipWorker gossip;
   private final InForceSurvey survey;
   private final LocalEvidence localEvidence;
+  private final LocalUsage localUsage;
 
   // -- construction
 
   public ControlRequestHandler(
-      MeshState state, GossipWorker gossip, InForceSurvey survey, LocalEvidence localEvidence) {
+      MeshState state,
+      GossipWorker gossip,
+      InForceSurvey survey,
+      LocalEvidence localEvidence,
+      LocalUsage localUsage) {
     this.state = requireNonNull(state, "state is null");
     this.gossip = requireNonNull(gossip, "gossip is null");
     this.survey = requireNonNull(survey, "survey is null");
     this.localEvidence = requireNonNull(localEvidence, "localEvidence is null");
+    this.localUsage = requireNonNull(localUsage, "localUsage is null");
   }
 
   // -- Function
@@ -48,6 +55,9 @@
     if (request instanceof EvidenceRequest evidenceRequest) {
       return localEvidence.forService(evidenceRequest.service());
     }
+    if (request instanceof UsageRequest usageRequest) {
+      return localUsage.answer(usageRequest);
+    }
     return new Failure("a message of this type takes no answer");
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
@@ -15,6 +15,7 @@
 import org.parsleycart.model.document.Problem;
 import org.parsleycart.model.document.YamlDocuments;
 import org.parsleycart.platform.PlatformBounds;
+import org.parsleycart.platform.UsageBounds;
 
 /**
  * The settings that a daemon reads from its settings file.
@@ -31,6 +32,7 @@
  * @param seeds the control addresses at which to look for peers first
  * @param limits the limits on concurrent work, memory and retries
  * @param traces the export of spans
+ * @param usageDuty the usage duty, empty if the deployment does not ask for it
  */
 public record DaemonSettings(
     String zone,
@@ -44,7 +46,8 @@
     List<String> peerKeys,
     List<String> seeds,
     DaemonLimits limits,
-    TraceSettings traces) {
+    TraceSettings traces,
+    Optional<DutySettings> usageDuty) {
   private static final String EMBEDDED = "embedded";
   private static final Duration DEFAULT_PLATFORM_TIMEOUT = Duration.ofSeconds(1);
   private static final int MINIMUM_KEY_LENGTH = 16;
@@ -65,6 +68,7 @@
     seeds = List.copyOf(seeds);
     requireNonNull(limits, "limits is null");
     requireNonNull(traces, "traces is null");
+    requireNonNull(usageDuty, "usageDuty is null");
   }
 
   /**
@@ -81,7 +85,8 @@
   private static Either<List<Problem>, DaemonSettings> from(Document document) {
     List<Problem> problems = new ArrayList<>();
     MappingReader reader = MappingReader.of(document, problems);
-    PlatformBounds bounds = PlatformBounds.from(reader.textItems("platformBounds"));
+    List<String> boundTexts = reader.textItems("platformBounds");
+    PlatformBounds bounds = PlatformBounds.from(boundTexts);
     DaemonSettings settings =
         new DaemonSettings(
             reader.requiredName("zone"),
@@ -95,7 +100,11 @@
             keysFrom(reader),
             seedsFrom(reader),
             DaemonLimits.from(section(reader, "limits", problems), bounds),
-            TraceSettings.from(section(reader, "traces", problems)));
+            TraceSettings.from(section(reader, "traces", problems)),
+            reader
+                .nested("duty")
+                .map(duty -> DutySettings.from(duty, UsageBounds.from(boundTexts)))
+                .flatMap(DutySettings::ifUsage));
     reader.reportUnknownKeys();
     return problems.isEmpty() ? Either.right(settings) : Either.left(problems);
   }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/PlatformMesh.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/PlatformMesh.java
@@ -35,6 +35,11 @@
       StoreStandin.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
   private final HttpClient client = HttpClient.start(1);
   private final List<Member> members = new ArrayList<>();
+  private final String furtherSettings;
+
+  private PlatformMesh(String furtherSettings) {
+    this.furtherSettings = furtherSettings;
+  }
 
   /** A daemon and the settings with which it runs. */
   public record Member(Daemon daemon, DaemonSettings settings) {
@@ -60,7 +65,17 @@
    * @param configuration the configuration as the operator of the platform writes it
    */
   public static PlatformMesh start(String configuration, String... services) throws IOException {
-    PlatformMesh mesh = new PlatformMesh();
+    return startWithSettings(configuration, "", services);
+  }
+
+  /**
+   * Starts a daemon for each service as {@link #start} does.
+   *
+   * @param furtherSettings lines of settings; {@code {service}} in them is replaced
+   */
+  public static PlatformMesh startWithSettings(
+      String configuration, String furtherSettings, String... services) throws IOException {
+    PlatformMesh mesh = new PlatformMesh(furtherSettings);
     mesh.store.put("op", "config", configuration);
     for (String service : services) {
       mesh.members.add(mesh.startMember(service));
@@ -104,7 +119,7 @@
                 ports.get(4),
                 store.address(),
                 CONNECTIONS_PER_TARGET);
-    return DaemonSettings.parse("test", text).get();
+    return DaemonSettings.parse("test", text + furtherSettings.replace("{service}", service)).get();
   }
 
   // -- queries
@@ -156,6 +171,11 @@
         HttpRequest.of("POST", "/parsleycart/Instances.Deregister/" + identifier).body("{}"));
   }
 
+  /** Kills a daemon, as if its process had crashed. */
+  public void kill(Member member) {
+    member.daemon().kill();
+  }
+
   /** Kills a daemon and starts it again with the settings that it had. */
   public Member restart(int index) throws IOException {
     Member member = members.get(index);
