--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
@@ -16,6 +16,7 @@
 import org.parsleycart.model.document.Problem;
 import org.parsleycart.model.document.YamlDocuments;
 import org.parsleycart.platform.PlatformBounds;
+import org.parsleycart.platform.UsageBounds;
 
 /**
  * The settings that a daemon reads from its settings file.
@@ -33,6 +34,7 @@
  * @param revocation how soon a revoked key must stop working
  * @param limits the limits on concurrent work, memory and retries
  * @param traces the export of spans
+ * @param usageDuty the usage duty, empty if the deployment does not ask for it
  */
 public record DaemonSettings(
     String zone,
@@ -47,7 +49,8 @@
     List<String> seeds,
     RevocationPolicy revocation,
     DaemonLimits limits,
-    TraceSettings traces) {
+    TraceSettings traces,
+    Optional<DutySettings> usageDuty) {
   private static final String EMBEDDED = "embedded";
   private static final String PLATFORM_BOUNDS = "platformBounds";
   private static final Duration DEFAULT_PLATFORM_TIMEOUT = Duration.ofSeconds(1);
@@ -70,6 +73,7 @@
     requireNonNull(revocation, "revocation is null");
     requireNonNull(limits, "limits is null");
     requireNonNull(traces, "traces is null");
+    requireNonNull(usageDuty, "usageDuty is null");
   }
 
   /**
@@ -88,7 +92,8 @@
     MappingReader reader = MappingReader.of(document, problems);
     DialectName dialect =
         reader.enumConstant("dialect", DialectName.class).orElse(DialectName.PARSLEYCART);
-    PlatformBounds bounds = boundsFrom(reader, dialect);
+    List<String> boundTexts = reader.textItems(PLATFORM_BOUNDS);
+    PlatformBounds bounds = boundsFrom(boundTexts, reader, dialect);
     DaemonSettings settings =
         new DaemonSettings(
             reader.requiredName("zone"),
@@ -103,13 +108,17 @@
             seedsFrom(reader),
             bounds.revocation(),
             DaemonLimits.from(section(reader, "limits", problems), bounds),
-            TraceSettings.from(section(reader, "traces", problems)));
+            TraceSettings.from(section(reader, "traces", problems)),
+            reader
+                .nested("duty")
+                .map(duty -> DutySettings.from(duty, UsageBounds.from(boundTexts)))
+                .flatMap(DutySettings::ifUsage));
     reader.reportUnknownKeys();
     return problems.isEmpty() ? Either.right(settings) : Either.left(problems);
   }
 
-  private static PlatformBounds boundsFrom(MappingReader reader, DialectName dialect) {
-    List<String> assignments = reader.textItems(PLATFORM_BOUNDS);
+  private static PlatformBounds boundsFrom(
+      List<String> assignments, MappingReader reader, DialectName dialect) {
     PlatformBounds bounds = PlatformBounds.from(assignments);
     PlatformBounds.malformed(assignments)
         .forEach(
