Pass the names of the deployment's bounds to the daemon

Cause: the settings template rendered only the values of the bounds, '["3","2",...]', and texts without a name were ignored without a word. So no bound of a deployment was ever in force on the users' platform: neither its retry ratio nor its grace time.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonSettings.java
@@ -126,7 +126,7 @@
                 reader.report(
                     PLATFORM_BOUNDS,
                     "\"" + assignment + "\"",
-                    "true or false, or a whole number of milliseconds above 0"));
+                    "name=value, with true or false, or a whole number of milliseconds above 0"));
     if (bounds.revocation().isStrict() && dialect != DialectName.PLATFORM) {
       // Without the feed of the platform no version is ever confirmed as the newest.
       reader.report(PLATFORM_BOUNDS, "strict revocation", "it with the dialect platform only");
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
@@ -63,9 +63,13 @@
     assertThat(settings.revocation()).isEqualTo(new RevocationPolicy(true, Duration.ofSeconds(3)));
   }
 
-  /** Guards against a mistyped bound, and against a dialect in which keys would never work. */
+  /**
+   * Guards against a mistyped bound, against values without names, which had no effect on the
+   * users' platform, and against a dialect in which keys would never work.
+   */
   @ParameterizedTest
   @CsvSource({
+    "platform, 0.2",
     "platform, strictRevocation=TRUE",
     "platform, revokeMs=soon",
     "parsleycart, strictRevocation=true"
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -43,8 +42,7 @@
   private final RouteIndex routeIndex;
   private final Set<String> withdrawnZones;
   private final RolloutIndex rolloutIndex;
-  private final Optional<Duration> shortestDeadline;
-  private final Optional<Duration> longestDeadline;
+  private final DeadlineRange deadlines;
   private final CallerLimits callerLimits;
   private final KeyIndex keyIndex;
 
@@ -70,11 +68,7 @@
     this.routeIndex = RouteIndex.of(routes());
     this.withdrawnZones = findWithdrawnZones();
     this.rolloutIndex = RolloutIndex.of(this);
-    Collection<Contract> contracts = section(ResourceKind.CONTRACT, Contract.class);
-    this.shortestDeadline =
-        contracts.stream().map(Contract::deadline).min(Comparator.naturalOrder());
-    this.longestDeadline =
-        contracts.stream().map(Contract::deadline).max(Comparator.naturalOrder());
+    this.deadlines = DeadlineRange.of(section(ResourceKind.CONTRACT, Contract.class));
     this.callerLimits =
         section(ResourceKind.CALLER_LIMITS, CallerLimits.class).stream()
             .findFirst()
@@ -272,24 +266,19 @@
 
   /** Returns the shortest deadline of all contracts, or empty if there are none. */
   public Optional<Duration> shortestDeadline() {
-    return shortestDeadline;
+    return deadlines.shortest();
   }
 
   /**
-   * Returns the instant from which the answer to a call is of little use.
-   *
-   * <p>Upstreams make the calls with the shortest deadline while they run other calls, which fail
-   * without the answer. It is useful until the deadline, whatever the latency objective of the
-   * nested call. If all contracts have the same deadline, none of them is for nested calls.
+   * Returns the instant from which the answer to a call is of little use: the deadline for calls
+   * that upstreams make while they run other calls, and the end of the latency objective otherwise.
    *
    * @param contract the contract of the call
    * @param deadline the deadline of the call
    */
   public Instant softDeadline(Contract contract, Instant deadline) {
     requireNonNull(contract, "contract is null");
-    boolean isShortest = shortestDeadline.equals(Optional.of(contract.deadline()));
-    boolean isNested = isShortest && !longestDeadline.equals(shortestDeadline);
-    return isNested ? deadline : contract.lateAt(deadline);
+    return deadlines.isForNestedCalls(contract) ? deadline : contract.lateAt(deadline);
   }
 
   public Optional<Contract> contractOfRoute(String routeName) {
