Record the bytes at an upstream only for the test that reads them

Late counting at the stand-in within the deadline of 300 ms is suspected, not traced.

Change: SocketUpstream records only when asked.

--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/OrganisationCallTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/OrganisationCallTest.java
@@ -76,6 +76,8 @@
     mesh = PlatformMesh.start(configuration(ORGANISATIONS), "one", "two");
     beside = new SocketUpstream(OrganisationCallTest::answer);
     remote = new SocketUpstream(OrganisationCallTest::answer);
+    beside.startRecording();
+    remote.startRecording();
   }
 
   @AfterAll
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/SocketUpstream.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/SocketUpstream.java
@@ -19,6 +19,7 @@
   private final AtomicInteger requests = new AtomicInteger();
   private final AtomicInteger connections = new AtomicInteger();
   private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+  private volatile boolean isRecording;
   private volatile Script script;
 
   /** Answers the requests of a connection. */
@@ -60,12 +61,17 @@
     return connections.get();
   }
 
-  /** Returns all bytes that have arrived on any connection, each as one character. */
+  /** Records the bytes that arrive on connections accepted from now on. */
+  void startRecording() {
+    isRecording = true;
+  }
+
+  /** Returns the recorded bytes of all connections, each as one character. */
   String received() {
     return received.toString(StandardCharsets.ISO_8859_1);
   }
 
-  /** Forgets the bytes that have arrived. */
+  /** Forgets the recorded bytes. */
   void forgetReceived() {
     received.reset();
   }
@@ -99,7 +105,8 @@
   private void serve(Socket socket) {
     try (socket) {
       socket.setTcpNoDelay(true);
-      InputStream input = recording(new BufferedInputStream(socket.getInputStream()));
+      InputStream plain = new BufferedInputStream(socket.getInputStream());
+      InputStream input = isRecording ? recording(plain) : plain;
       boolean isKept = true;
       while (isKept) {
         WireMessage request = WireMessage.readRequest(input);
