--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageGathering.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageGathering.java
@@ -44,6 +44,9 @@
   /** A daemon that did not answer is asked again after this time. */
   private static final long REPEAT_MILLISECONDS = 700;
 
+  private static final long CLOCK_CHECK_MILLISECONDS = 5000;
+  private static final int CHECKED_CLOCKS = 7;
+
   private final UsageWindows windows;
   private final LocalUsage localUsage;
   private final FrameClient frameClient;
@@ -53,6 +56,8 @@
   private final ConcurrentLinkedQueue<Reply> replies = new ConcurrentLinkedQueue<>();
   private final Set<String> asked = new HashSet<>();
   private final Map<String, Long> askedAt = new HashMap<>();
+  private long checkedClocksAt = Long.MIN_VALUE / 2;
+  private int presentDaemons;
   private GatheredUsage gathered = new GatheredUsage();
   private ClockAgreement agreement = new ClockAgreement();
 
@@ -102,8 +107,26 @@
   /** Forgets what an earlier turn as the holder gathered. */
   void restart() {
     gathered = new GatheredUsage();
-    agreement = new ClockAgreement();
     askedAt.clear();
+    restartClockCheck();
+  }
+
+  /** Compares the wall clocks anew, as after a step of that of this daemon. */
+  void restartClockCheck() {
+    agreement = new ClockAgreement();
+    checkedClocksAt = Long.MIN_VALUE / 2;
+  }
+
+  /** Asks a few daemons for their wall clocks from time to time, also while no window has ended. */
+  void checkClocks(ClockReading now) {
+    if (now.boot() - checkedClocksAt < CLOCK_CHECK_MILLISECONDS) {
+      return;
+    }
+    checkedClocksAt = now.boot();
+    Instant recently = Instant.ofEpochMilli(now.wall() - CLOCK_CHECK_MILLISECONDS);
+    Set<String> present = expected.presentSince(recently);
+    presentDaemons = present.size();
+    present.stream().sorted().limit(CHECKED_CLOCKS).forEach(daemon -> ask(daemon, Set.of(), now));
   }
 
   /** Merges the answers that have arrived and asks the daemons whose counts are missing. */
@@ -185,6 +208,11 @@
     return gathered.sums(window);
   }
 
+  /** Returns whether enough daemons have answered to judge the wall clock of this one. */
+  boolean isClockChecked() {
+    return agreement.isConclusive(presentDaemons);
+  }
+
   /** Returns whether the wall clock of this daemon differs from most others. */
   boolean isClockDeviating() {
     return agreement.isDeviating();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageWorker.java
@@ -53,6 +53,11 @@
 
   private static final long DEPARTED_READ_MILLISECONDS = 1000;
 
+  /** A new holder waits this long for answers that show whether its wall clock is right. */
+  private static final long CLOCK_CHECK_MILLISECONDS = 1500;
+
+  private static final long CLOCK_STEP_MILLISECONDS = 500;
+
   private final LocalUsage localUsage;
   private final Supplier<MembershipView> members;
   private final UsageRows rows;
@@ -65,6 +70,8 @@
   private final WorkerLoop loop;
   private DutyHolder duty;
   private long actingToken;
+  private long clocksUncheckedSince;
+  private long wallClockOffset;
   private long cleanedThrough = Long.MIN_VALUE;
   private long departedReadAt = Long.MIN_VALUE / 2;
   private List<DepartedUsage> departed = List.of();
@@ -121,6 +128,8 @@
     this.clocks = requireNonNull(clocks, "clocks is null");
     this.statistics = requireNonNull(statistics, "statistics is null");
     this.random = requireNonNull(random, "random is null");
+    ClockReading now = clocks.get();
+    this.wallClockOffset = now.wall() - now.boot();
     this.loop = new WorkerLoop("usage", this::step, health);
   }
 
@@ -143,27 +152,7 @@
    * run.
    */
   public void storeCounts() {
-    long done =
-        rows.readLease()
-            .toJavaOptional()
-            .flatMap(lease -> lease.content())
-            .map(lease -> lease.reportedThrough())
-            .orElse(Long.MIN_VALUE);
-    List<Long> open =
-        localUsage.all().windows().stream()
-            .map(counts -> counts.window())
-            .filter(window -> window > done)
-            .toList();
-    if (open.isEmpty()) {
-      return;
-    }
-    Either<PlatformError, Boolean> stored = rows.insertDeparted(localUsage.of(open));
-    if (stored.isLeft()) {
-      stored = rows.insertDeparted(localUsage.of(open));
-    }
-    stored
-        .peek(inserted -> Logger.info("usage counts of {} windows stored", open.size()))
-        .peekLeft(error -> Logger.warn("usage counts not stored: {}", error.message()));
+    new UsageHandover(rows, localUsage).store();
   }
 
   // -- operation
@@ -179,6 +168,7 @@
   boolean act() {
     ClockReading now = clocks.get();
     MembershipView view = members.get();
+    noteWallClock(now);
     gathering.observe(view.otherIdentifiers(), Instant.ofEpochMilli(now.wall()));
     if (isStopping) {
       resign("this daemon stops");
@@ -199,6 +189,23 @@
     return true;
   }
 
+  private void noteWallClock(ClockReading now) {
+    long offset = now.wall() - now.boot();
+    if (Math.abs(offset - wallClockOffset) > CLOCK_STEP_MILLISECONDS) {
+      // The process may have waited for the processor between the readings of two clocks.
+      ClockReading again = clocks.get();
+      offset = again.wall() - again.boot();
+    }
+    if (Math.abs(offset - wallClockOffset) > CLOCK_STEP_MILLISECONDS) {
+      Logger.warn(
+          "wall clock stepped by {} milliseconds: usage counts in the windows of the new time",
+          offset - wallClockOffset);
+      clocksUncheckedSince = now.boot();
+      gathering.restartClockCheck();
+    }
+    wallClockOffset = offset;
+  }
+
   private boolean isCandidate(MembershipView view) {
     return RendezvousHash.owners(
             view.alive().map(MemberRecord::identifier), CANDIDATE_KEY, CANDIDATES)
@@ -215,6 +222,7 @@
     } else {
       Logger.info("usage duty: holder with token {}, next window {}", token, duty.plan().window());
       gathering.restart();
+      clocksUncheckedSince = now.boot();
       departedReadAt = now.boot() - DEPARTED_READ_MILLISECONDS;
     }
     actingToken = token;
@@ -269,6 +277,7 @@
     ClockReading now = clocks.get();
     Instant time = Instant.ofEpochMilli(now.wall());
     List<Long> gatherable = duty.plan().gatherable(time);
+    gathering.checkClocks(now);
     gathering.gather(gatherable, now);
     if (gathering.isClockDeviating()) {
       resign(
@@ -284,6 +293,10 @@
     if (!gatherable.isEmpty()) {
       readDeparted(gatherable, now);
     }
+    if (!gathering.isClockChecked()
+        && now.boot() - clocksUncheckedSince < CLOCK_CHECK_MILLISECONDS) {
+      return;
+    }
     boolean hasCalled = true;
     for (int calls = 0; hasCalled && calls < MAXIMUM_CALLS_PER_STEP; calls++) {
       hasCalled = performForReports();
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/usage/ClockAgreement.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/usage/ClockAgreement.java
@@ -30,13 +30,17 @@
     offsets.put(daemon, answeredAt - (sentAt + receivedAt) / 2);
   }
 
-  /** Forgets all answers, as after a step of the wall clock of this process. */
-  public void clear() {
-    offsets.clear();
-  }
-
   // -- queries
 
+  /**
+   * Returns whether enough daemons have answered, of those asked.
+   *
+   * @param asked the number of daemons that can answer
+   */
+  public boolean isConclusive(int asked) {
+    return offsets.size() >= Math.min(MINIMUM_PEERS, asked);
+  }
+
   /** Returns the median difference of the other clocks, 0 with fewer than three answers. */
   public long medianOffset() {
     if (offsets.size() < MINIMUM_PEERS) {
