--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of a daemon process under load from misbehaving clients. */
+package org.parsleycart.daemon.abuse;
