Bound the turn of each connection, and close clients that stall

Cause: the server reads bodies, drains refused ones and parses pipelined requests until a read returns nothing, so that one connection keeps its I/O thread while bytes come. Calls whose client has stopped sending or reading hold slots of the upstream until their deadline.

Change: TurnConduit bounds what is read in one turn, on connections of clients and of upstreams. PipelineGate bounds pipelined requests that run at once. ConnectionGuard accounts for the connections of each group of listeners; ProtectionRule decides which are closed. Bodies of operators' requests and heartbeats are received without a thread and within a bound of memory. A request with control characters in a field, or with dot segments that lead out of its route, gets 400; a 400 no longer waits for the rest of the request. Settings, metrics, log line, design note.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -64,15 +64,18 @@
     CallServer server = CallServer.create(settings.limits(), buffers);
     Daemon daemon = new Daemon(settings, components, frameServer, server);
     components.startWorkers();
+    ConnectionGuards guards =
+        ConnectionGuards.create(settings.limits().protection(), components.telemetry(), clock);
     ListenAddresses addresses = settings.addresses();
     server.listen(
         addresses.callers(),
         components.entryHandler(),
+        guards.callers(),
         () -> components.state().configuration().callerLimits());
-    server.listen(addresses.daemons(), components.admissionHandler());
-    server.listen(addresses.operators(), components.operatorHandler());
+    server.listen(addresses.daemons(), components.admissionHandler(), guards.daemons());
+    server.listen(addresses.operators(), components.operatorHandler(), guards.operators());
     if (addresses.readiness().isPresent()) {
-      server.listen(addresses.readiness().get(), components.operatorHandler());
+      server.listen(addresses.readiness().get(), components.operatorHandler(), guards.operators());
     }
     Logger.info("started in zone {} as {}", settings.zone(), settings.identifier());
     return daemon;
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/BodyTransfer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/BodyTransfer.java
@@ -6,19 +6,23 @@
 import io.undertow.connector.PooledByteBuffer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import org.xnio.ChannelListener;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
  * Copies a body from one channel to another through a single buffer. Reads are suspended while the
- * sink accepts no data. Confined to one input/output thread.
+ * sink accepts no data. The connection of the source bounds what is read in one turn. Confined to
+ * one input/output thread.
  */
 final class BodyTransfer {
   private final StreamSourceChannel source;
   private final StreamSinkChannel sink;
-  private final PooledByteBuffer pooledBuffer;
+  private final ByteBufferPool pool;
   private final Listener listener;
+  private Optional<PooledByteBuffer> pooledBuffer = Optional.empty();
+  private Optional<IOException> sourceFailure = Optional.empty();
   private boolean isSourceAtEnd;
   private boolean isEnded;
 
@@ -37,13 +41,10 @@
   // -- construction
 
   private BodyTransfer(
-      StreamSourceChannel source,
-      StreamSinkChannel sink,
-      PooledByteBuffer pooledBuffer,
-      Listener listener) {
+      StreamSourceChannel source, StreamSinkChannel sink, ByteBufferPool pool, Listener listener) {
     this.source = source;
     this.sink = sink;
-    this.pooledBuffer = pooledBuffer;
+    this.pool = pool;
     this.listener = listener;
   }
 
@@ -52,8 +53,7 @@
       StreamSourceChannel source, StreamSinkChannel sink, ByteBufferPool pool, Listener listener) {
     requireNonNull(source, "source is null");
     requireNonNull(sink, "sink is null");
-    BodyTransfer transfer = new BodyTransfer(source, sink, pool.allocate(), listener);
-    transfer.pooledBuffer.getBuffer().flip();
+    BodyTransfer transfer = new BodyTransfer(source, sink, pool, listener);
     ChannelListener<StreamSourceChannel> onReadable = ready -> transfer.run();
     ChannelListener<StreamSinkChannel> onWritable = ready -> transfer.run();
     source.getReadSetter().set(onReadable);
@@ -75,34 +75,65 @@
    * must become ready first.
    */
   private boolean step() {
-    ByteBuffer buffer = pooledBuffer.getBuffer();
+    ByteBuffer buffer = buffer();
     if (!buffer.hasRemaining() && !isSourceAtEnd && !fill(buffer)) {
       return false;
     }
+    if (!buffer.hasRemaining() && !isSourceAtEnd) {
+      return true;
+    }
     try {
-      return (isSourceAtEnd && !buffer.hasRemaining()) ? finish() : drain(buffer);
+      return buffer.hasRemaining() ? drain(buffer) : finish();
     } catch (IOException e) {
       end(() -> listener.sinkFailed(e));
       return false;
     }
   }
 
+  /**
+   * Reads until the buffer is full or nothing more is there. One read of a body in chunks returns
+   * at most one chunk, and a write for each would cost far more than the read.
+   */
   private boolean fill(ByteBuffer buffer) {
+    if (sourceFailure.isPresent()) {
+      end(() -> listener.sourceFailed(sourceFailure.get()));
+      return false;
+    }
     buffer.clear();
+    int count = 0;
     try {
-      int count = source.read(buffer);
-      buffer.flip();
-      isSourceAtEnd = count < 0;
-      if (count == 0) {
-        sink.suspendWrites();
-        source.resumeReads();
-        return false;
-      }
-      return true;
+      do {
+        count = source.read(buffer);
+      } while (count > 0 && buffer.hasRemaining());
     } catch (IOException e) {
-      end(() -> listener.sourceFailed(e));
+      // What arrived before the failure is still passed on.
+      sourceFailure = Optional.of(e);
+    }
+    buffer.flip();
+    isSourceAtEnd = count < 0;
+    if (count == 0 && !buffer.hasRemaining() && sourceFailure.isEmpty()) {
+      releaseBuffer();
+      sink.suspendWrites();
+      source.resumeReads();
       return false;
     }
+    return true;
+  }
+
+  /** Returns the buffer, which is empty if it was not held. */
+  private ByteBuffer buffer() {
+    if (pooledBuffer.isEmpty()) {
+      PooledByteBuffer allocated = pool.allocate();
+      allocated.getBuffer().flip();
+      pooledBuffer = Optional.of(allocated);
+    }
+    return pooledBuffer.get().getBuffer();
+  }
+
+  /** Returns the buffer to the pool. A source that has stopped sending holds none. */
+  private void releaseBuffer() {
+    pooledBuffer.ifPresent(PooledByteBuffer::close);
+    pooledBuffer = Optional.empty();
   }
 
   private boolean drain(ByteBuffer buffer) throws IOException {
@@ -130,7 +161,7 @@
 
   private void end(Runnable notification) {
     isEnded = true;
-    pooledBuffer.close();
+    releaseBuffer();
     source.suspendReads();
     sink.suspendWrites();
     notification.run();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
@@ -10,7 +10,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -42,10 +45,16 @@
   private static final long STACK_BYTES = 256 * 1024;
   private static final int BACKLOG = 1024;
 
+  /**
+   * How often connections are measured: a small part of the time in which a client must progress.
+   */
+  private static final long SWEEP_MILLISECONDS = 250;
+
   private final XnioWorker worker;
   private final ByteBufferPool buffers;
   private final OptionMap serverOptions;
   private final List<AcceptingChannel<? extends StreamConnection>> listeners = new ArrayList<>();
+  private final Set<ConnectionGuard> guards = new HashSet<>();
   private final AtomicBoolean isStopped = new AtomicBoolean();
   private volatile LimitedOptions callerOptions;
 
@@ -83,6 +92,10 @@
     OptionMap serverOptions =
         OptionMap.builder()
             .set(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
+            .set(UndertowOptions.MAX_HEADERS, limits.protection().headerFields())
+            .set(
+                UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                milliseconds(limits.protection().maximumStallTime()))
             .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maximumBodyBytes())
             .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLISECONDS)
             .set(UndertowOptions.ENABLE_HTTP2, false)
@@ -99,8 +112,9 @@
    *
    * @throws IOException if the address cannot be bound
    */
-  public void listen(InetSocketAddress address, HttpHandler handler) throws IOException {
-    listen(address, handler, openListener -> {});
+  public void listen(InetSocketAddress address, HttpHandler handler, ConnectionGuard guard)
+      throws IOException {
+    listen(address, handler, guard, openListener -> {});
   }
 
   /**
@@ -109,25 +123,34 @@
    * @param limits supplies the limits of each new connection when it is accepted
    * @throws IOException if the address cannot be bound
    */
-  public void listen(InetSocketAddress address, HttpHandler handler, Supplier<CallerLimits> limits)
+  public void listen(
+      InetSocketAddress address,
+      HttpHandler handler,
+      ConnectionGuard guard,
+      Supplier<CallerLimits> limits)
       throws IOException {
     requireNonNull(limits, "limits is null");
     listen(
         address,
         handler,
+        guard,
         openListener -> openListener.setUndertowOptions(optionsFor(limits.get())));
   }
 
   private void listen(
-      InetSocketAddress address, HttpHandler handler, Consumer<HttpOpenListener> beforeOpen)
+      InetSocketAddress address,
+      HttpHandler handler,
+      ConnectionGuard guard,
+      Consumer<HttpOpenListener> beforeOpen)
       throws IOException {
     HttpOpenListener openListener = new HttpOpenListener(buffers, serverOptions);
-    openListener.setRootHandler(requireNonNull(handler, "handler is null"));
+    openListener.setRootHandler(guard.guard(requireNonNull(handler, "handler is null")));
     ChannelListener<StreamConnection> acceptListener =
         connection -> {
-          beforeOpen.accept(openListener);
-          DisconnectDetectingConduit.install(connection);
-          openListener.handleEvent(connection);
+          if (guard.accept(connection)) {
+            beforeOpen.accept(openListener);
+            openListener.handleEvent(connection);
+          }
         };
     AcceptingChannel<? extends StreamConnection> listener =
         worker.createStreamConnectionServer(
@@ -140,6 +163,11 @@
                 .getMap());
     listener.resumeAccepts();
     listeners.add(listener);
+    if (guards.add(guard)) {
+      worker
+          .getIoThread()
+          .executeAtInterval(guard::sweep, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
   }
 
   /** Returns the server options for the limits. Creates them only when the limits change. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
@@ -28,6 +28,7 @@
 final class DisconnectDetectingConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
   private static final int READ_AHEAD_BYTES = 4096;
 
+  private final Optional<GuardedConnection> guarded;
   private ReadReadyHandler serverHandler;
   private Optional<Runnable> disconnectTask = Optional.empty();
   private ByteBuffer buffered = ByteBuffer.allocate(0);
@@ -37,15 +38,21 @@
   // -- construction
 
   DisconnectDetectingConduit(ConduitStreamSourceChannel channel) {
+    this(channel, Optional.empty());
+  }
+
+  private DisconnectDetectingConduit(
+      ConduitStreamSourceChannel channel, Optional<GuardedConnection> guarded) {
     super(channel.getConduit());
+    this.guarded = guarded;
     this.serverHandler = new ReadReadyHandler.ChannelListenerHandler<>(channel);
     next.setReadReadyHandler(new ReadHandler());
   }
 
   /** Installs a conduit between a new connection and the server. */
-  static void install(StreamConnection connection) {
+  static void install(StreamConnection connection, GuardedConnection guarded) {
     ConduitStreamSourceChannel channel = connection.getSourceChannel();
-    channel.setConduit(new DisconnectDetectingConduit(channel));
+    channel.setConduit(new DisconnectDetectingConduit(channel, Optional.of(guarded)));
   }
 
   /** Returns the conduit installed on the connection of an exchange, empty if there is none. */
@@ -56,6 +63,16 @@
         : Optional.empty();
   }
 
+  /** Returns the account of the connection of an exchange, empty if there is none. */
+  static Optional<GuardedConnection> guardOf(HttpServerExchange exchange) {
+    return of(exchange).flatMap(conduit -> conduit.guarded);
+  }
+
+  /** Returns whether bytes of the next request have been read ahead. */
+  boolean hasBuffered() {
+    return buffered.hasRemaining();
+  }
+
   // -- watching
 
   /**
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -59,6 +59,7 @@
     Optional<Instant> deadline = contract.map(found -> deadline(exchange, found, arrivedAt));
     Optional<RefusalReason> refusal =
         invalidRequest(exchange, configuration)
+            .or(() -> leavingRoute(exchange, configuration, state, route))
             .or(() -> refusal(state, service, contract))
             .or(() -> overload(readDelay, configuration, contract.get(), deadline.get(), now));
     if (refusal.isPresent()) {
@@ -97,6 +98,22 @@
             exchange, configuration.callerLimits(), dependencies.limits().maximumBodyBytes());
   }
 
+  /** Refuses a path whose dot segments lead out of the route that it was matched with. */
+  private static Optional<RefusalReason> leavingRoute(
+      HttpServerExchange exchange,
+      Configuration configuration,
+      MeshState state,
+      Optional<Route> route) {
+    String path = exchange.getRequestPath();
+    if (!RequestValidation.hasDotSegments(path)) {
+      return Optional.empty();
+    }
+    String resolved = RequestValidation.withoutDotSegments(path);
+    return configuration.routeFor(hostOf(exchange), resolved, state.labels()).equals(route)
+        ? Optional.empty()
+        : Optional.of(RefusalReason.BAD_REQUEST);
+  }
+
   private static Optional<RefusalReason> refusal(
       MeshState state, Optional<Service> service, Optional<Contract> contract) {
     if (!state.isServing()) {
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/GuardedConnection.java
@@ -0,0 +1,203 @@
+package org.parsleycart.daemon.call;
+
+import io.undertow.server.HttpServerExchange;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.parsleycart.decision.protection.ConnectionUsage;
+import org.parsleycart.decision.protection.ConnectionUsage.Phase;
+import org.parsleycart.link.http.TurnConduit;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+
+/**
+ * A connection to a listener, and what its client makes the daemon hold. The input/output thread of
+ * the connection changes it; the thread that measures usage reads it.
+ */
+final class GuardedConnection {
+  /**
+   * Read from a connection in one turn between requests. Bounds how many pipelined requests are
+   * parsed in a row, and suffices for the head of an ordinary request.
+   */
+  static final int HEAD_TURN_BYTES = 2 * 1024;
+
+  /** Read in one turn of a body with a length: two buffers of the pool. */
+  private static final int BODY_TURN_BYTES = 16 * 1024;
+
+  /**
+   * Read in one turn of a body in tiny chunks. The server copies what is left of a buffer for each
+   * chunk of it, so that they cost time in the square of the turn.
+   */
+  private static final int TINY_CHUNKS_TURN_BYTES = 2 * 1024;
+
+  /**
+   * A body in chunks that has an end of line for every 5 bytes or less has chunks of some 4 bytes
+   * or less, as each chunk takes two lines.
+   */
+  private static final int TINY_CHUNK_BYTES_PER_LINE = 5;
+
+  /** Read before chunks are judged. */
+  private static final long JUDGED_BYTES = 16 * 1024;
+
+  /** Progress within the stall time that counts. An ordinary client over a slow link makes more. */
+  private static final long MINIMUM_PROGRESS_BYTES = 1024;
+
+  /** The buffer of a body in transfer. */
+  private static final long TRANSFER_BYTES = 8 * 1024;
+
+  /** Leaves time for the request in progress to notice that its connection failed. */
+  private static final long CLOSE_DELAY_MILLISECONDS = 100;
+
+  private final StreamConnection connection;
+  private final TurnConduit turn;
+  private final ProgressSinkConduit sink;
+  private final HeldBytes heldBytes;
+  private volatile Optional<HttpServerExchange> exchange = Optional.empty();
+  private volatile long bufferedBytes;
+  private boolean isNextPipelined;
+  private long progressBytes;
+  private Instant progressAt;
+  private Phase lastPhase = Phase.IDLE;
+
+  // -- construction
+
+  private GuardedConnection(
+      StreamConnection connection,
+      TurnConduit turn,
+      ProgressSinkConduit sink,
+      HeldBytes heldBytes,
+      Instant now) {
+    this.heldBytes = heldBytes;
+    this.connection = connection;
+    this.turn = turn;
+    this.sink = sink;
+    this.progressAt = now;
+  }
+
+  /** Installs the measurement of progress and the bound of turns on a new connection. */
+  static GuardedConnection install(StreamConnection connection, HeldBytes heldBytes, Instant now) {
+    GuardedConnection guarded =
+        new GuardedConnection(
+            connection,
+            TurnConduit.install(connection, HEAD_TURN_BYTES),
+            ProgressSinkConduit.install(connection),
+            heldBytes,
+            now);
+    DisconnectDetectingConduit.install(connection, guarded);
+    return guarded;
+  }
+
+  // -- events
+
+  /** Records that a request begins. Returns whether it arrived before the previous response. */
+  boolean begin(HttpServerExchange begun) {
+    exchange = Optional.of(begun);
+    if (!begun.isRequestComplete()) {
+      turn.setBytesPerTurn(BODY_TURN_BYTES);
+      turn.countLines(begun.getRequestContentLength() < 0);
+    }
+    return isNextPipelined;
+  }
+
+  /**
+   * Records that an exchange is complete.
+   *
+   * @param hasMore whether bytes of the next request have been read already
+   */
+  void end(boolean hasMore) {
+    exchange = Optional.empty();
+    heldBytes.release(bufferedBytes);
+    bufferedBytes = 0;
+    isNextPipelined = hasMore;
+    turn.setBytesPerTurn(HEAD_TURN_BYTES);
+    turn.countLines(false);
+  }
+
+  /**
+   * Ends the request in progress, and closes the connection. Reads and writes fail from now on, so
+   * that what transfers a body notices it as if the client had reset the connection, and ends the
+   * call at the upstream too. Runs on the thread of the connection.
+   */
+  void abort() {
+    turn.fail();
+    sink.fail();
+    turn.wakeupReads();
+    sink.wakeupWrites();
+    connection
+        .getIoThread()
+        .executeAfter(this::close, CLOSE_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * A response that only the end of the connection would complete must not pass for a whole one.
+   */
+  private void close() {
+    exchange.ifPresentOrElse(ResponseFraming::abort, () -> IoUtils.safeClose(connection));
+  }
+
+  /**
+   * Reserves memory for a body until the exchange is complete. Returns false, and reserves nothing,
+   * if all connections together hold too much.
+   */
+  boolean tryHoldBody(long bytes) {
+    boolean isHeld = heldBytes.tryHold(bytes);
+    bufferedBytes = isHeld ? bytes : 0;
+    return isHeld;
+  }
+
+  /** Counts the time without progress from now on. */
+  void restartProgress(Instant now) {
+    progressAt = now;
+  }
+
+  // -- queries
+
+  StreamConnection connection() {
+    return connection;
+  }
+
+  /** Measures the usage. Called by one thread. */
+  ConnectionUsage usage(Instant now) {
+    Phase phase = phase();
+    long bytes = turn.totalBytes() + sink.totalBytes();
+    // Tiny chunks take far more work than the bytes of their body are worth.
+    boolean isWasteful = hasTinyChunks();
+    boolean isProgressing = !isWasteful && bytes - progressBytes >= MINIMUM_PROGRESS_BYTES;
+    if (isWasteful) {
+      connection.getIoThread().execute(this::shortenTurns);
+    }
+    if (!phase.isClientAwaited() || phase != lastPhase || isProgressing) {
+      progressBytes = bytes;
+      progressAt = now;
+    }
+    lastPhase = phase;
+    long held = bufferedBytes + (phase.isClientAwaited() ? TRANSFER_BYTES : 0);
+    return new ConnectionUsage(phase, held, Duration.between(progressAt, now));
+  }
+
+  private boolean hasTinyChunks() {
+    long bytes = turn.countedBytes();
+    return bytes >= JUDGED_BYTES && turn.countedLines() * TINY_CHUNK_BYTES_PER_LINE >= bytes;
+  }
+
+  private void shortenTurns() {
+    if (hasTinyChunks()) {
+      turn.setBytesPerTurn(TINY_CHUNKS_TURN_BYTES);
+    }
+  }
+
+  private Phase phase() {
+    Optional<HttpServerExchange> current = exchange;
+    if (current.isEmpty()) {
+      return Phase.IDLE;
+    }
+    if (sink.isBlocked()) {
+      return Phase.READING;
+    }
+    // Reads are not resumed while the daemon has no use for more of the body yet.
+    return !current.get().isRequestComplete() && turn.isReadResumed()
+        ? Phase.SENDING
+        : Phase.SERVED;
+  }
+}
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/MeshResponses.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/MeshResponses.java
@@ -68,7 +68,11 @@
       headers.put(dialect.headers().requestIdentifier(), requestIdentifier);
       headers.put(Headers.CONTENT_LENGTH, 0);
       exchange.setStatusCode(status);
-      exchange.endExchange();
+      if (exchange.isPersistent() || exchange.isRequestComplete()) {
+        exchange.endExchange();
+      } else {
+        ClosingResponse.send(exchange);
+      }
       return;
     }
     String body =
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestBody.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestBody.java
@@ -25,7 +25,8 @@
   // -- construction
 
   /**
-   * Buffers a body of known and limited length. Any other body is streamed.
+   * Buffers a body of known and limited length, unless all connections together hold too much. Any
+   * other body is streamed.
    *
    * @param exchange the exchange, before any of its body has been read
    * @param maximumBufferedBytes size in bytes up to which a body is buffered
@@ -44,7 +45,8 @@
     }
     long length = exchange.getRequestContentLength();
     StreamSourceChannel channel = exchange.getRequestChannel();
-    if (length < 0 || length > maximumBufferedBytes) {
+    // While too much is held already, a body is streamed and can't be sent again.
+    if (length < 0 || length > maximumBufferedBytes || !tryHold(exchange, length)) {
       onReady.accept(new Streamed(channel));
       return;
     }
@@ -52,6 +54,12 @@
     read(exchange, channel, content, onReady, onFailure);
   }
 
+  private static boolean tryHold(HttpServerExchange exchange, long bytes) {
+    return DisconnectDetectingConduit.guardOf(exchange)
+        .map(guarded -> guarded.tryHoldBody(bytes))
+        .orElse(true);
+  }
+
   private static void read(
       HttpServerExchange exchange,
       StreamSourceChannel channel,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestValidation.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestValidation.java
@@ -4,12 +4,19 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.model.CallerLimits;
 
-/** Detects requests with an ambiguous length, and requests that exceed a size limit. */
+/** Detects requests that could be read in different ways, or that exceed a size limit. */
 final class RequestValidation {
+  private static final Pattern ENCODED_SLASH = Pattern.compile("(?i)%2f|\\\\");
+  private static final Pattern DOT_SEGMENT =
+      Pattern.compile("(?i)(?:^|/|%2f|\\\\)\\.{1,2}(?:$|/|%2f|\\\\)");
+
   private RequestValidation() {}
 
   /**
@@ -21,6 +28,9 @@
   static Optional<RefusalReason> refusalReason(
       HttpServerExchange exchange, CallerLimits limits, long maximumBodyBytes) {
     HeaderMap headers = exchange.getRequestHeaders();
+    if (hasControlCharacter(headers)) {
+      return Optional.of(RefusalReason.BAD_REQUEST);
+    }
     HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
     HeaderValues encodings = headers.get(Headers.TRANSFER_ENCODING);
     if (lengths != null && (lengths.size() > 1 || encodings != null)) {
@@ -41,6 +51,42 @@
     return hasOversizedHeaders ? Optional.of(RefusalReason.HEADERS_TOO_LARGE) : Optional.empty();
   }
 
+  /** Returns whether a field has a control character other than a tab (RFC 9110, section 5.5). */
+  private static boolean hasControlCharacter(HeaderMap headers) {
+    for (HeaderValues values : headers) {
+      boolean isFound =
+          values.stream()
+              .flatMapToInt(String::chars)
+              .anyMatch(character -> character < ' ' && character != '\t');
+      if (isFound) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Returns the path without dot segments (RFC 3986, section 5.2.4). An encoded slash separates
+   * segments too, as it does for an upstream that decodes it first.
+   */
+  static String withoutDotSegments(String path) {
+    Deque<String> segments = new ArrayDeque<>();
+    for (String segment : ENCODED_SLASH.matcher(path).replaceAll("/").split("/", -1)) {
+      if (segment.equals("..")) {
+        segments.pollLast();
+      } else if (!segment.equals(".")) {
+        segments.addLast(segment);
+      }
+    }
+    String joined = String.join("/", segments);
+    return joined.startsWith("/") ? joined : "/" + joined;
+  }
+
+  /** Returns whether a path has dot segments. */
+  static boolean hasDotSegments(String path) {
+    return DOT_SEGMENT.matcher(path).find();
+  }
+
   private static long sizeInBytes(HeaderMap headers) {
     long total = 0;
     for (HeaderValues values : headers) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamLifecycleHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamLifecycleHandler.java
@@ -25,6 +25,9 @@
   /** Shorter than the second for which the sender of a heartbeat waits. */
   private static final int ACKNOWLEDGEMENT_TIMEOUT_MILLISECONDS = 800;
 
+  /** Heartbeats have a few hundred bytes. */
+  private static final int MAXIMUM_HEARTBEAT_BYTES = 64 * 1024;
+
   private final Dialect dialect;
   private final LocalUpstreams upstreams;
   private final DepartureStore departures;
@@ -67,10 +70,11 @@
     } else if (!exchange.getRequestMethod().equals(Methods.POST)) {
       fallback.handleRequest(exchange);
     } else if (heartbeatSender.isPresent()) {
-      exchange
-          .getRequestReceiver()
-          .receiveFullBytes(
-              (receiver, body) -> receiveHeartbeat(receiver, heartbeatSender.get(), body));
+      BodyReceiver.receive(
+          exchange,
+          MAXIMUM_HEARTBEAT_BYTES,
+          (receiver, body) -> receiveHeartbeat(receiver, heartbeatSender.get(), body),
+          status -> respond(exchange, status));
     } else if (deregisteringUpstream.isPresent()) {
       respondOnceStored(exchange, upstreams.deregister(deregisteringUpstream.get()));
     } else {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
@@ -6,8 +6,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
-import java.io.IOException;
-import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -15,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import org.parsleycart.daemon.call.BodyReceiver;
 import org.tinylog.Logger;
 
 /** Dispatches each request to an action by its method and path, and writes the response. */
@@ -92,38 +91,50 @@
 
   @Override
   public void handleRequest(HttpServerExchange exchange) {
-    exchange.dispatch(() -> sendResponse(exchange));
-  }
-
-  private void sendResponse(HttpServerExchange exchange) {
-    OperatorResponse response = respond(exchange);
-    exchange.setStatusCode(response.status());
-    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, response.contentType());
-    exchange.getResponseSender().send(response.body());
-  }
-
-  private OperatorResponse respond(HttpServerExchange exchange) {
     List<String> path = segments(exchange.getRequestPath());
     String method = exchange.getRequestMethod().toString();
     Optional<Action> action =
         actions.stream().filter(each -> each.matches(method, path)).findFirst();
     if (action.isEmpty()) {
       String message = "unsupported request: " + method + " " + exchange.getRequestPath();
-      return OperatorResponse.error(StatusCodes.NOT_FOUND, message, List.of());
-    }
-    exchange.startBlocking();
-    try (InputStream input = exchange.getInputStream()) {
-      byte[] body = input.readNBytes(MAXIMUM_BODY_BYTES + 1);
-      if (body.length > MAXIMUM_BODY_BYTES) {
-        String message = "request body exceeds " + MAXIMUM_BODY_BYTES + " bytes";
-        return OperatorResponse.error(StatusCodes.REQUEST_ENTITY_TOO_LARGE, message, List.of());
-      }
-      String text = new String(body, StandardCharsets.UTF_8);
-      return perform(action.get(), new OperatorRequest(method, path, query(exchange), text));
-    } catch (IOException e) {
-      return OperatorResponse.error(
-          StatusCodes.BAD_REQUEST, "request body could not be read completely", List.of());
+      send(exchange, OperatorResponse.error(StatusCodes.NOT_FOUND, message, List.of()));
+      return;
     }
+    // A worker thread starts only when the body is there. A client that stops sending holds none.
+    BodyReceiver.receive(
+        exchange,
+        MAXIMUM_BODY_BYTES,
+        (received, body) ->
+            received.dispatch(
+                () ->
+                    send(
+                        received,
+                        perform(
+                            action.get(),
+                            new OperatorRequest(
+                                method,
+                                path,
+                                query(received),
+                                new String(body, StandardCharsets.UTF_8))))),
+        status -> send(exchange, refusal(status)));
+  }
+
+  private static void send(HttpServerExchange exchange, OperatorResponse response) {
+    exchange.setStatusCode(response.status());
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, response.contentType());
+    exchange.getResponseSender().send(response.body());
+  }
+
+  private static OperatorResponse refusal(int status) {
+    String message =
+        switch (status) {
+          case StatusCodes.REQUEST_ENTITY_TOO_LARGE ->
+              "request body exceeds " + MAXIMUM_BODY_BYTES + " bytes";
+          case StatusCodes.SERVICE_UNAVAILABLE ->
+              "too many request bodies are held in memory; try again later";
+          default -> "request body could not be read completely";
+        };
+    return OperatorResponse.error(status, message, List.of());
   }
 
   private static OperatorResponse perform(Action action, OperatorRequest request) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
@@ -25,6 +25,7 @@
  * @param retriesPerCall the retries that each call to a service adds to the retry budget of the
  *     service
  * @param savedRetries the maximum retry budget that a service can accumulate
+ * @param protection the limits on what clients may hold
  */
 public record DaemonLimits(
     int coldLimit,
@@ -38,7 +39,8 @@
     Optional<Duration> graceTime,
     boolean trustsSlots,
     double retriesPerCall,
-    double savedRetries) {
+    double savedRetries,
+    ProtectionSettings protection) {
   private static final long MEBIBYTE = 1024 * 1024;
   private static final double DEFAULT_RETRIES_PER_CALL = 0.1;
   private static final double DEFAULT_SAVED_RETRIES = 20;
@@ -49,6 +51,7 @@
   public DaemonLimits {
     requireNonNull(drainTimeout, "drainTimeout is null");
     requireNonNull(graceTime, "graceTime is null");
+    requireNonNull(protection, "protection is null");
   }
 
   /**
@@ -71,7 +74,8 @@
             reader
                 .decimal("retriesPerCall", 0, 1)
                 .orElse(bounds.retriesPerCall().orElse(DEFAULT_RETRIES_PER_CALL)),
-            reader.decimal("savedRetries", 0, MAXIMUM_SAVED_RETRIES).orElse(DEFAULT_SAVED_RETRIES));
+            reader.decimal("savedRetries", 0, MAXIMUM_SAVED_RETRIES).orElse(DEFAULT_SAVED_RETRIES),
+            ProtectionSettings.from(reader));
     reader.reportUnknownKeys();
     return limits;
   }
--- /dev/null
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ProtectionSettings.java
@@ -0,0 +1,93 @@
+package org.parsleycart.daemon.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import org.parsleycart.decision.protection.ProtectionLimits;
+import org.parsleycart.model.document.MappingReader;
+
+/**
+ * The limits on what the clients of a daemon may hold.
+ *
+ * @param descriptors the descriptors that the process may open
+ * @param callerConnections the connections of callers
+ * @param daemonConnections the connections of other daemons
+ * @param operatorConnections the connections to the addresses for operators and readiness
+ * @param pipelinedRequests how many pipelined requests are handled at once
+ * @param headerFields the fields of a request
+ * @param heldBodyBytes the bytes of bodies held in memory for one group of listeners
+ * @param stallTime how long a client may be without progress when many are
+ * @param maximumStallTime how long a client may be without progress
+ * @param stalledConnections how many clients may be without progress for the stall time
+ */
+public record ProtectionSettings(
+    int descriptors,
+    int callerConnections,
+    int daemonConnections,
+    int operatorConnections,
+    int pipelinedRequests,
+    int headerFields,
+    long heldBodyBytes,
+    Duration stallTime,
+    Duration maximumStallTime,
+    int stalledConnections) {
+  /**
+   * For files, the control port, and connections to upstreams, other daemons and the platform. The
+   * deployments open up to 200 files.
+   */
+  private static final int RESERVED_DESCRIPTORS = 700;
+
+  private static final long MEBIBYTE = 1024 * 1024;
+
+  // -- construction
+
+  public ProtectionSettings {
+    requireNonNull(stallTime, "stallTime is null");
+    requireNonNull(maximumStallTime, "maximumStallTime is null");
+  }
+
+  static ProtectionSettings from(MappingReader reader) {
+    ProtectionSettings settings =
+        new ProtectionSettings(
+            number(reader, "descriptors", 1_000, 1_000_000, 4_100),
+            number(reader, "callerConnections", 1, 1_000_000, 2_000),
+            number(reader, "daemonConnections", 1, 1_000_000, 900),
+            number(reader, "operatorConnections", 1, 1_000_000, 500),
+            number(reader, "pipelinedRequests", 1, 10_000, 32),
+            number(reader, "headerFields", 1, 10_000, 200),
+            reader.number("heldBodyBytes", 1, 1024 * MEBIBYTE).orElse(16 * MEBIBYTE),
+            reader.duration("stallTime").orElse(Duration.ofSeconds(2)),
+            reader.duration("maximumStallTime").orElse(Duration.ofSeconds(15)),
+            number(reader, "stalledConnections", 0, 1_000_000, 4));
+    settings.check(reader);
+    return settings;
+  }
+
+  private void check(MappingReader reader) {
+    int total = callerConnections + daemonConnections + operatorConnections;
+    if (total > descriptors - RESERVED_DESCRIPTORS) {
+      reader.report(
+          "descriptors",
+          descriptors + " descriptors for " + total + " connections",
+          "at least " + RESERVED_DESCRIPTORS + " more than all connections together");
+    }
+    if (maximumStallTime.compareTo(stallTime) < 0) {
+      reader.report(
+          "maximumStallTime",
+          maximumStallTime.toMillis() + " ms",
+          "at least stallTime, " + stallTime.toMillis() + " ms");
+    }
+  }
+
+  private static int number(
+      MappingReader reader, String key, int minimum, int maximum, int defaultValue) {
+    return reader.number(key, minimum, maximum).orElse((long) defaultValue).intValue();
+  }
+
+  // -- queries
+
+  /** Returns the limits of the rule that decides which connections are closed. */
+  public ProtectionLimits limits() {
+    return new ProtectionLimits(stallTime, maximumStallTime, stalledConnections, heldBodyBytes);
+  }
+}
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
@@ -36,4 +36,27 @@
             "8 limits.queueLength",
             "8 limits.colour");
   }
+
+  /**
+   * Guards against connections that leave no descriptors for upstreams, daemons and the platform.
+   */
+  @Test
+  void shouldReportProtectionLimitsThatContradictEachOther() {
+    List<Problem> problems =
+        DaemonSettings.parse(
+                "daemon.yaml",
+                """
+                zone: abdali
+                addresses: {callers: "10.0.0.1:7400", daemons: "10.0.0.1:7401",
+                            control: "10.0.0.1:7402", operators: "10.0.0.1:7403"}
+                platform: embedded
+                peerKeys: [test-key-0123456789]
+                limits: {callerConnections: 2001, stallTime: 5s, maximumStallTime: 4s}
+                """)
+            .getLeft();
+
+    assertThat(problems)
+        .extracting(problem -> problem.location().path())
+        .containsExactlyInAnyOrder("limits.descriptors", "limits.maximumStallTime");
+  }
 }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
@@ -20,12 +20,17 @@
 public final class BoundedConnection implements Closeable {
   private final ClientConnection connection;
   private final StreamConnection stream;
+  private final TurnConduit turn;
   private final BoundedHeadConduit heads;
 
   BoundedConnection(
-      ClientConnection connection, StreamConnection stream, BoundedHeadConduit heads) {
+      ClientConnection connection,
+      StreamConnection stream,
+      TurnConduit turn,
+      BoundedHeadConduit heads) {
     this.connection = requireNonNull(connection, "connection is null");
     this.stream = requireNonNull(stream, "stream is null");
+    this.turn = requireNonNull(turn, "turn is null");
     this.heads = requireNonNull(heads, "heads is null");
   }
 
@@ -63,6 +68,7 @@
    * belongs to the next request. The end of the connection counts as an arrival.
    */
   public boolean isSilent() {
+    turn.renewTurn();
     try {
       return connection.isOpen() && stream.getSourceChannel().read(ByteBuffer.allocate(1)) == 0;
     } catch (IOException e) {
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnector.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnector.java
@@ -20,6 +20,9 @@
 
 /** Opens client connections whose response heads are bounded, all on one input/output thread. */
 public final class BoundedConnector {
+  /** A buffer of the pool. A response without end gets one in each pass of the event loop. */
+  private static final int BYTES_PER_TURN = 16 * 1024;
+
   private final XnioIoThread thread;
   private final ByteBufferPool buffers;
   private final OptionMap options;
@@ -75,6 +78,7 @@
   private final class GuardingThread extends XnioIoThread {
     // The callback of a connection runs within its open listener, so that both see the same one.
     private StreamConnection stream;
+    private TurnConduit turn;
     private BoundedHeadConduit heads;
 
     private GuardingThread() {
@@ -83,7 +87,7 @@
 
     /** Returns the connection that is being opened. */
     private BoundedConnection opened(ClientConnection connection) {
-      return new BoundedConnection(connection, stream, heads);
+      return new BoundedConnection(connection, stream, turn, heads);
     }
 
     @Override
@@ -95,6 +99,7 @@
           destination,
           newStream -> {
             stream = newStream;
+            turn = TurnConduit.install(newStream, BYTES_PER_TURN);
             ConduitStreamSourceChannel source = newStream.getSourceChannel();
             heads = new BoundedHeadConduit(source.getConduit());
             source.setConduit(heads);
