--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/TurnConduit.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/TurnConduit.java
@@ -37,7 +37,7 @@
 
   // -- construction
 
-  private TurnConduit(ConduitStreamSourceChannel channel, int bytesPerTurn) {
+  TurnConduit(ConduitStreamSourceChannel channel, int bytesPerTurn) {
     super(channel.getConduit());
     this.bytesPerTurn = bytesPerTurn;
     this.remaining = bytesPerTurn;
