--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -61,6 +61,7 @@
     Optional<Instant> deadline = contract.map(found -> deadline(exchange, found, arrivedAt));
     Either<RefusalReason, Optional<Organisation>> caller =
         invalidRequest(exchange, configuration)
+            .or(() -> leavingRoute(exchange, configuration, state, route))
             .or(() -> refusal(state, service, contract))
             .map(Either::<RefusalReason, Optional<Organisation>>left)
             .orElseGet(
@@ -109,6 +110,22 @@
             exchange, configuration.callerLimits(), dependencies.limits().maximumBodyBytes());
   }
 
+  /** Refuses a path whose dot segments lead out of the route that it was matched with. */
+  private static Optional<RefusalReason> leavingRoute(
+      HttpServerExchange exchange,
+      Configuration configuration,
+      MeshState state,
+      Optional<Route> route) {
+    String path = exchange.getRequestPath();
+    if (!RequestValidation.hasDotSegments(path)) {
+      return Optional.empty();
+    }
+    String resolved = RequestValidation.withoutDotSegments(path);
+    return configuration.routeFor(hostOf(exchange), resolved, state.labels()).equals(route)
+        ? Optional.empty()
+        : Optional.of(RefusalReason.BAD_REQUEST);
+  }
+
   private static Optional<RefusalReason> refusal(
       MeshState state, Optional<Service> service, Optional<Contract> contract) {
     if (!state.isServing()) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
@@ -27,6 +27,7 @@
  *     service
  * @param savedRetries the maximum retry budget that a service can accumulate
  * @param balancing how calls are balanced between upstreams
+ * @param protection the limits on what clients may hold
  */
 public record DaemonLimits(
     int coldLimit,
@@ -41,7 +42,8 @@
     boolean trustsSlots,
     double retriesPerCall,
     double savedRetries,
-    Balancing balancing) {
+    Balancing balancing,
+    ProtectionSettings protection) {
   private static final long MEBIBYTE = 1024 * 1024;
   private static final double DEFAULT_RETRIES_PER_CALL = 0.1;
   private static final double DEFAULT_SAVED_RETRIES = 20;
@@ -53,6 +55,7 @@
     requireNonNull(drainTimeout, "drainTimeout is null");
     requireNonNull(graceTime, "graceTime is null");
     requireNonNull(balancing, "balancing is null");
+    requireNonNull(protection, "protection is null");
   }
 
   /**
@@ -76,7 +79,8 @@
                 .decimal("retriesPerCall", 0, 1)
                 .orElse(bounds.retriesPerCall().orElse(DEFAULT_RETRIES_PER_CALL)),
             reader.decimal("savedRetries", 0, MAXIMUM_SAVED_RETRIES).orElse(DEFAULT_SAVED_RETRIES),
-            balancing(reader));
+            balancing(reader),
+            ProtectionSettings.from(reader));
     reader.reportUnknownKeys();
     return limits;
   }
