Show that false paces hardly move calls, and explain without a trace

Cause: an estimate created the record of a service without reports, although explain promises to change nothing. False paces were tested for one daemon only. Change: estimates read a shared empty record. EvenLoadTest has three upstreams that state random paces from 1 to 1000.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/EndEstimator.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/EndEstimator.java
@@ -63,7 +63,7 @@
 
   /** Estimates what a call to the candidate would meet. Does not change any state. */
   CallEstimate estimate(Candidate candidate, boolean isInLocalZone, Instant now, Instant deadline) {
-    ServiceLoad service = loads.ofService(candidate);
+    ServiceLoad service = loads.findService(candidate);
     Optional<UpstreamLoad> load = loads.find(candidate);
     Optional<ReceivedReport> report = load.flatMap(UpstreamLoad::lastReport);
     int slots =
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
@@ -12,6 +12,9 @@
 
 /** The loads of all upstreams known to one entry daemon. Thread-safe. */
 public final class UpstreamLoadTable {
+  /** Of services without a report; never written. */
+  private static final ServiceLoad UNREPORTED = new ServiceLoad();
+
   private final ConcurrentHashMap<String, UpstreamLoad> loadsByUpstream = new ConcurrentHashMap<>();
   private final ConcurrentHashMap<String, ServiceLoad> loadsByService = new ConcurrentHashMap<>();
 
@@ -34,7 +37,11 @@
   }
 
   /** Returns what the reports of all upstreams of the service of a candidate show. */
-  ServiceLoad ofService(Candidate candidate) {
+  ServiceLoad findService(Candidate candidate) {
+    return loadsByService.getOrDefault(candidate.upstream().service(), UNREPORTED);
+  }
+
+  private ServiceLoad ofService(Candidate candidate) {
     String service = candidate.upstream().service();
     ServiceLoad load = loadsByService.get(service);
     return load != null
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
@@ -101,7 +101,7 @@
             sample(pool.localZone(), isUsable, random),
             sample(pool.otherZones(), isUsable, random));
     Stream<Candidate> recent =
-        pool.all().findFirst().map(loads::ofService).stream()
+        pool.all().findFirst().map(loads::findService).stream()
             .flatMap(service -> service.recentUpstreams().stream())
             .flatMap(upstream -> pool.find(upstream).stream())
             .filter(isUsable);
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/EvenLoadTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/EvenLoadTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -64,6 +66,23 @@
         .isLessThan(before.queueSwing() / 2);
   }
 
+  /** Guards against false paces that draw calls away from the other upstreams or off their own. */
+  @Test
+  void shouldKeepTheShareOfUpstreamsThatStateRandomPaces() {
+    FleetShape shape = FleetShape.ofThreeSpeeds();
+    FleetFigures honest = run(shape, Balancing.EXPECTED_END, 1);
+    FleetFigures figures = run(shape.withFalsePaces(3), Balancing.EXPECTED_END, 1);
+
+    assertThat(Stream.of("u0", "u1", "u2"))
+        .allSatisfy(
+            upstream ->
+                assertThat(figures.attemptsAt(upstream) / honest.attemptsAt(upstream))
+                    .isBetween(0.75, 1.25));
+    assertThat(figures.highWaitMilliseconds())
+        .as(figures.toString())
+        .isLessThan(shape.meanCallMilliseconds());
+  }
+
   /** Guards small fleets of equal upstreams, which are served well by two choices. */
   @ParameterizedTest
   @CsvSource({"0.7, 1", "0.7, 2", "1.3, 1", "1.3, 2"})
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetFigures.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetFigures.java
@@ -1,8 +1,10 @@
 package org.parsleycart.decision.routing;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 
 /** What a simulated fleet did after its warm-up. */
 final class FleetFigures {
@@ -10,6 +12,7 @@
 
   private final List<Double> waits = new ArrayList<>();
   private final List<int[]> queues = new ArrayList<>();
+  private final Map<String, Long> attemptsByUpstream = new HashMap<>();
   private long calls;
   private long arrivals;
   private long avoidableWaits;
@@ -41,8 +44,11 @@
     refusals += isMeasured ? 1 : 0;
   }
 
-  void recordZone(boolean isMeasured, boolean isLocal) {
+  void recordAttempt(boolean isMeasured, String upstream, boolean isLocal) {
     attempts += isMeasured ? 1 : 0;
+    if (isMeasured) {
+      attemptsByUpstream.merge(upstream, 1L, Long::sum);
+    }
     localAttempts += isMeasured && isLocal ? 1 : 0;
   }
 
@@ -86,6 +92,12 @@
     return answersInTime / (double) calls;
   }
 
+  /** Returns the attempts at an upstream as a multiple of the mean over all upstreams. */
+  double attemptsAt(String upstream) {
+    double mean = attempts / (double) queues.get(0).length;
+    return attemptsByUpstream.getOrDefault(upstream, 0L) / mean;
+  }
+
   double localShare() {
     return localAttempts / (double) attempts;
   }
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetShape.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetShape.java
@@ -10,6 +10,7 @@
  * @param slownesses how long work takes on a VM, in turn over the upstreams
  * @param load the rate of calls as a share of the capacity of all upstreams together
  * @param callsPerBurst the mean number of calls that a chooser sends close together
+ * @param falsePaces the number of upstreams that state random paces
  */
 record FleetShape(
     int choosers,
@@ -22,22 +23,34 @@
     double meanCallMilliseconds,
     Duration deadline,
     double warmUpMilliseconds,
-    double measuredMilliseconds) {
+    double measuredMilliseconds,
+    int falsePaces) {
 
   /** Returns the fleet of the design note: three speeds up to 2.4 times apart. */
   static FleetShape ofThreeSpeeds() {
     return new FleetShape(
-        80, 63, 4, 8, List.of(1.0, 1.55, 2.4), 0.7, 3, 276, Duration.ofSeconds(3), 4_000, 15_000);
+        80,
+        63,
+        4,
+        8,
+        List.of(1.0, 1.55, 2.4),
+        0.7,
+        3,
+        276,
+        Duration.ofSeconds(3),
+        4_000,
+        15_000,
+        0);
   }
 
   /** Returns a small fleet of equal upstreams. */
   static FleetShape ofEqualSpeeds(double load) {
     return new FleetShape(
-        12, 4, 4, 18, List.of(1.0), load, 3, 50, Duration.ofSeconds(1), 4_000, 30_000);
+        12, 4, 4, 18, List.of(1.0), load, 3, 50, Duration.ofSeconds(1), 4_000, 30_000, 0);
   }
 
-  /** Returns this fleet with another mean number of calls in a burst. */
-  FleetShape withCallsPerBurst(double newCallsPerBurst) {
+  /** Returns this fleet with some upstreams, the first ones, that state random paces. */
+  FleetShape withFalsePaces(int newFalsePaces) {
     return new FleetShape(
         choosers,
         upstreams,
@@ -45,11 +58,12 @@
         slots,
         slownesses,
         load,
-        newCallsPerBurst,
+        callsPerBurst,
         meanCallMilliseconds,
         deadline,
         warmUpMilliseconds,
-        measuredMilliseconds);
+        measuredMilliseconds,
+        newFalsePaces);
   }
 
   double slowness(int upstream) {
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetSimulation.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/FleetSimulation.java
@@ -207,13 +207,18 @@
 
     /** The report leaves with the head of the answer, just before the slot becomes free. */
     private void end(Call call, Duration latency) {
-      tracker.recordStatement(OptionalInt.of((int) (100 * pace / slowness)));
+      tracker.recordStatement(OptionalInt.of(statedPace()));
       tracker.recordAnswer(latency);
       LoadReport report = load();
       apply(admission.recordAnswer(ROUTE, latency));
       after(oneWay(call), () -> call.chooser.answered(call, this, report));
     }
 
+    private int statedPace() {
+      boolean isFalse = shape.falsePaces() > Integer.parseInt(candidate.identifier().substring(1));
+      return isFalse ? 1 + random.nextInt(1_000) : (int) (100 * pace / slowness);
+    }
+
     private LoadReport load() {
       return admission.load().withPace(tracker.current());
     }
@@ -276,7 +281,8 @@
       call.tried.add(chosen.get().identifier());
       loads.of(chosen.get()).recordStart();
       Server server = servers.get(Integer.parseInt(chosen.get().identifier().substring(1)));
-      figures.recordZone(isMeasured(), chosen.get().zone().equals(zone));
+      figures.recordAttempt(
+          isMeasured(), server.candidate.identifier(), chosen.get().zone().equals(zone));
       after(server.oneWay(call), () -> server.receive(call));
     }
 
