Answer large malformed heartbeats as before, and start chunks with short turns

OddHeartbeatTest failed in the whole build (2 of 16): heartbeats above 64 KiB got 413 instead of 400. The bound is 1 MiB now. A body in chunks gets turns of 2 KiB until its chunks are known not to be tiny: with 16 KiB, the first turn of 200 connections with one-byte chunks delayed readiness checks beyond their deadline (load average about 20).

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
@@ -26,6 +26,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 
@@ -54,6 +55,7 @@
   private final ByteBufferPool buffers;
   private final OptionMap serverOptions;
   private final List<AcceptingChannel<? extends StreamConnection>> listeners = new ArrayList<>();
+  private final List<XnioExecutor.Key> sweeps = new ArrayList<>();
   private final Set<ConnectionGuard> guards = new HashSet<>();
   private final AtomicBoolean isStopped = new AtomicBoolean();
   private volatile LimitedOptions callerOptions;
@@ -164,9 +166,10 @@
     listener.resumeAccepts();
     listeners.add(listener);
     if (guards.add(guard)) {
-      worker
-          .getIoThread()
-          .executeAtInterval(guard::sweep, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS);
+      sweeps.add(
+          worker
+              .getIoThread()
+              .executeAtInterval(guard::sweep, SWEEP_MILLISECONDS, TimeUnit.MILLISECONDS));
     }
   }
 
@@ -203,6 +206,7 @@
       // Closing a listener after its worker has shut down would block forever.
       return;
     }
+    sweeps.forEach(XnioExecutor.Key::remove);
     listeners.forEach(IoUtils::safeClose);
     worker.shutdownNow();
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/GuardedConnection.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/GuardedConnection.java
@@ -26,10 +26,11 @@
   private static final int BODY_TURN_BYTES = 16 * 1024;
 
   /**
-   * Read in one turn of a body in tiny chunks. The server copies what is left of a buffer for each
-   * chunk of it, so that they cost time in the square of the turn.
+   * Read in one turn of a body in chunks until they are known not to be tiny. The server copies
+   * what is left of a buffer for each chunk of it, so that they cost time in the square of the
+   * turn.
    */
-  private static final int TINY_CHUNKS_TURN_BYTES = 2 * 1024;
+  private static final int CHUNKED_TURN_BYTES = 2 * 1024;
 
   /**
    * A body in chunks that has an end of line for every 5 bytes or less has chunks of some 4 bytes
@@ -94,8 +95,9 @@
   boolean begin(HttpServerExchange begun) {
     exchange = Optional.of(begun);
     if (!begun.isRequestComplete()) {
-      turn.setBytesPerTurn(BODY_TURN_BYTES);
-      turn.countLines(begun.getRequestContentLength() < 0);
+      boolean isChunked = begun.getRequestContentLength() < 0;
+      turn.setBytesPerTurn(isChunked ? CHUNKED_TURN_BYTES : BODY_TURN_BYTES);
+      turn.countLines(isChunked);
     }
     return isNextPipelined;
   }
@@ -164,8 +166,8 @@
     // Tiny chunks take far more work than the bytes of their body are worth.
     boolean isWasteful = hasTinyChunks();
     boolean isProgressing = !isWasteful && bytes - progressBytes >= MINIMUM_PROGRESS_BYTES;
-    if (isWasteful) {
-      connection.getIoThread().execute(this::shortenTurns);
+    if (turn.countedBytes() >= JUDGED_BYTES) {
+      connection.getIoThread().execute(this::adaptTurns);
     }
     if (!phase.isClientAwaited() || phase != lastPhase || isProgressing) {
       progressBytes = bytes;
@@ -181,9 +183,10 @@
     return bytes >= JUDGED_BYTES && turn.countedLines() * TINY_CHUNK_BYTES_PER_LINE >= bytes;
   }
 
-  private void shortenTurns() {
-    if (hasTinyChunks()) {
-      turn.setBytesPerTurn(TINY_CHUNKS_TURN_BYTES);
+  /** Adapts the turns of a body in chunks, unless the request has ended in the meantime. */
+  private void adaptTurns() {
+    if (turn.countedBytes() >= JUDGED_BYTES) {
+      turn.setBytesPerTurn(hasTinyChunks() ? CHUNKED_TURN_BYTES : BODY_TURN_BYTES);
     }
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamLifecycleHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/UpstreamLifecycleHandler.java
@@ -25,8 +25,10 @@
   /** Shorter than the second for which the sender of a heartbeat waits. */
   private static final int ACKNOWLEDGEMENT_TIMEOUT_MILLISECONDS = 800;
 
-  /** Heartbeats have a few hundred bytes. */
-  private static final int MAXIMUM_HEARTBEAT_BYTES = 64 * 1024;
+  /**
+   * Heartbeats have a few hundred bytes. Larger ones up to this are still answered as malformed.
+   */
+  private static final int MAXIMUM_HEARTBEAT_BYTES = 1024 * 1024;
 
   private final Dialect dialect;
   private final LocalUpstreams upstreams;
