Choose by the expected end only where upstreams state a pace

Deployments whose servers state no pace were to be served as before. Change: a daemon reports a pace only if its upstream stated one, and services without a reported pace are balanced by two choices. A copy of the load table keeps what is known of services. Result: EvenLoadTest, ExpectedEndTest, CallPaceTest and the routing tests pass.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/PaceTracker.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/PaceTracker.java
@@ -48,12 +48,15 @@
 
   // -- queries
 
-  /** Returns the pace of calls, empty before the first complete answer. */
+  /**
+   * Returns the pace of calls, empty before the first complete answer after the upstream stated a
+   * pace.
+   */
   public synchronized Optional<CallPace> current() {
-    if (usualNanoseconds == 0) {
+    if (averagePace == 0) {
       return Optional.empty();
     }
-    double percent = averagePace == 0 ? PERCENT : PERCENT * currentPace / averagePace;
+    double percent = PERCENT * currentPace / averagePace;
     return Optional.of(
         new CallPace(Duration.ofNanos((long) usualNanoseconds), (int) Math.round(percent)));
   }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/Balancing.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/Balancing.java
@@ -10,7 +10,9 @@
    */
   TWO_CHOICES("two-choices"),
   /**
-   * The upstream where the call is expected to wait least, of those that reported last and some.
+   * The upstream where the call is expected to wait least, of those that reported last and some
+   * drawn at random. It serves services whose upstreams state a pace. In other services upstreams
+   * are much alike, and two choices keep more calls in their zone.
    */
   EXPECTED_END("expected-end");
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/ServiceLoad.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/ServiceLoad.java
@@ -28,6 +28,7 @@
   private final List<String> recent = new ArrayList<>(RECENT_REPORTS + 1);
   private double utilization = INITIAL_UTILIZATION;
   private double callNanoseconds;
+  private boolean isPaced;
 
   // -- events
 
@@ -39,6 +40,7 @@
     }
     double reported = (double) report.outstandingCalls() / Math.max(1, report.limit());
     utilization += (Math.min(MAXIMUM_UTILIZATION, reported) - utilization) * REPORT_WEIGHT;
+    isPaced |= report.pace().isPresent();
     report.pace().map(CallPace::expectedTime).ifPresent(time -> recordTime(time.toNanos()));
   }
 
@@ -62,6 +64,11 @@
     return List.copyOf(recent);
   }
 
+  /** Returns whether any upstream of the service has reported a pace. */
+  synchronized boolean isPaced() {
+    return isPaced;
+  }
+
   /** Returns the mean of outstanding calls for each slot. */
   synchronized double utilization() {
     return utilization;
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoadTable.java
@@ -61,6 +61,7 @@
   UpstreamLoadTable copy() {
     UpstreamLoadTable copy = new UpstreamLoadTable();
     copy.loadsByUpstream.putAll(loadsByUpstream);
+    copy.loadsByService.putAll(loadsByService);
     return copy;
   }
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
@@ -83,13 +83,16 @@
     requireNonNull(deadline, "deadline is null");
     Predicate<Candidate> isUsable = isUsable(pool, tried, now);
     Optional<Candidate> chosen =
-        switch (balancing) {
-          case TWO_CHOICES -> lessUtilized(pool, isUsable, random);
-          case EXPECTED_END -> earliestEnd(pool, isUsable, now, deadline, random);
-        };
+        balancing == Balancing.EXPECTED_END && isPaced(pool)
+            ? earliestEnd(pool, isUsable, now, deadline, random)
+            : lessUtilized(pool, isUsable, random);
     return chosen.or(() -> pool.all().filter(isUntried(tried, now)).findFirst());
   }
 
+  private boolean isPaced(CandidatePool pool) {
+    return pool.all().findFirst().filter(any -> loads.findService(any).isPaced()).isPresent();
+  }
+
   private Optional<Candidate> earliestEnd(
       CandidatePool pool,
       Predicate<Candidate> isUsable,
