--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -139,7 +139,7 @@
             upstreams,
             departures,
             state,
-            operatorHandler(state, telemetry, control, changeAcceptor, upstreams, loads, clock)));
+            operators(state, telemetry, control, changeAcceptor, upstreams, entryDependencies)));
   }
 
   private static DepartureRegister departures(
@@ -205,7 +205,7 @@
         state,
         settings.identifier(),
         loads,
-        new UpstreamSelection(loads),
+        new UpstreamSelection(loads, settings.limits().balancing()),
         new RetryPolicy(
             RetryBudgets.of(
                 () ->
@@ -227,16 +227,15 @@
         ThreadLocalRandom::current);
   }
 
-  private static OperatorHandler operatorHandler(
+  private static OperatorHandler operators(
       MeshState state,
       Telemetry telemetry,
       ControlComponents control,
       ChangeAcceptor changeAcceptor,
       LocalUpstreams upstreams,
-      UpstreamLoadTable loads,
-      MonotonicClock clock) {
+      EntryDependencies entry) {
     ZoneCapacity capacity =
-        new ZoneCapacity(state, candidate -> loads.of(candidate).outstandingCalls());
+        new ZoneCapacity(state, candidate -> entry.loads().of(candidate).outstandingCalls());
     StatusActions status =
         new StatusActions(
             state,
@@ -248,9 +247,15 @@
             telemetry.registry());
     return new OperatorHandler(
         new ConfigurationActions(state, changeAcceptor, control.platformWorker(), capacity),
-        new RolloutActions(state, changeAcceptor, clock),
+        new RolloutActions(state, changeAcceptor, entry.clock()),
         status,
-        new ExplainActions(state, control.gossip(), upstreams, loads, clock),
+        new ExplainActions(
+            state,
+            control.gossip(),
+            upstreams,
+            entry.loads(),
+            entry.selection().balancing(),
+            entry.clock()),
         new UpstreamActions(upstreams));
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -106,6 +106,7 @@
         AttemptRecord.of(
             candidate.get(), load, dependencies.state().zone(), dependencies.clock().instant()));
     load.recordStart();
+    dependencies.metrics().recordAttempt(dependencies.state().zone(), candidate.get().zone());
     if (candidate.get().daemonIdentifier().equals(dependencies.daemonIdentifier())) {
       dependencies.metrics().recordLocalAttempt();
       admitLocally(body, candidate.get(), load);
@@ -348,9 +349,7 @@
 
     @Override
     public Optional<AttemptResult> intercept(ClientResponse response) {
-      String report = response.getResponseHeaders().getFirst(CallHeaders.LOAD);
-      Optional.ofNullable(report)
-          .flatMap(LoadReport::parse)
+      MeshResponses.readLoad(response.getResponseHeaders())
           .ifPresent(parsed -> load.recordReport(parsed, dependencies.clock().instant()));
       dependencies
           .dialect()
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ExplainActions.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ExplainActions.java
@@ -15,6 +15,7 @@
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.routing.Balancing;
 import org.parsleycart.decision.routing.RoutingExplanation;
 import org.parsleycart.decision.routing.RoutingState;
 import org.parsleycart.decision.routing.ServiceExplanation;
@@ -33,6 +34,7 @@
   private final GossipWorker gossip;
   private final LocalUpstreams upstreams;
   private final UpstreamLoadTable loads;
+  private final Balancing balancing;
   private final InstantSource clock;
 
   // -- construction
@@ -43,11 +45,13 @@
       GossipWorker gossip,
       LocalUpstreams upstreams,
       UpstreamLoadTable loads,
+      Balancing balancing,
       InstantSource clock) {
     this.state = requireNonNull(state, "state is null");
     this.gossip = requireNonNull(gossip, "gossip is null");
     this.upstreams = requireNonNull(upstreams, "upstreams is null");
     this.loads = requireNonNull(loads, "loads is null");
+    this.balancing = requireNonNull(balancing, "balancing is null");
     this.clock = requireNonNull(clock, "clock is null");
   }
 
@@ -103,17 +107,22 @@
       Contract contract) {
     Instant now = clock.instant();
     MembershipView view = gossip.view();
-    RoutingState routing =
-        new RoutingState(
-            configuration, state.facts(), view.records(), directory(configuration, zone), loads);
-    List<ServiceExplanation> services =
-        new RoutingExplanation(routing, question.tried(), now).explain(route);
     Duration deadline =
         question
             .deadline()
             .filter(stated -> stated.compareTo(contract.deadline()) < 0)
             .orElse(contract.deadline());
     Instant endsBy = now.plus(deadline);
+    RoutingState routing =
+        new RoutingState(
+            configuration,
+            state.facts(),
+            view.records(),
+            directory(configuration, zone),
+            loads,
+            balancing);
+    List<ServiceExplanation> services =
+        new RoutingExplanation(routing, question.tried(), now, endsBy).explain(route);
     AdmissionRequest<String> request =
         new AdmissionRequest<>(
             question.path(),
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RoutingState.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RoutingState.java
@@ -13,13 +13,15 @@
  * @param members all known members, including those that get no calls
  * @param directory the upstreams that may receive calls, as seen from the zone of the caller
  * @param loads the loads of upstreams as observed by the daemon
+ * @param balancing how the daemon balances calls
  */
 public record RoutingState(
     Configuration configuration,
     UrgentFacts facts,
     List<MemberRecord> members,
     UpstreamDirectory directory,
-    UpstreamLoadTable loads) {
+    UpstreamLoadTable loads,
+    Balancing balancing) {
 
   public RoutingState {
     requireNonNull(configuration, "configuration is null");
@@ -27,5 +29,6 @@
     members = List.copyOf(members);
     requireNonNull(directory, "directory is null");
     requireNonNull(loads, "loads is null");
+    requireNonNull(balancing, "balancing is null");
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/ServiceExplanation.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/ServiceExplanation.java
@@ -50,6 +50,7 @@
    * @param utilization the share of its concurrency limit in use with one more call
    * @param reportAge the time since its last load report, empty if there was none
    * @param chosenPerMille how many of a thousand calls would be sent to it
+   * @param view how the selection compares it, empty if it does not
    */
   public record Upstream(
       Candidate candidate,
@@ -57,11 +58,13 @@
       int outstandingCalls,
       double utilization,
       Optional<Duration> reportAge,
-      int chosenPerMille) {
+      int chosenPerMille,
+      Optional<CandidateView> view) {
     public Upstream {
       requireNonNull(candidate, "candidate is null");
       requireNonNull(exclusion, "exclusion is null");
       requireNonNull(reportAge, "reportAge is null");
+      requireNonNull(view, "view is null");
     }
   }
 }
