Merge the explanation of the choice by the expected end, with organisations

The explanation uses the balancing of the daemon, the rank of the organisation and the end of use of nested calls; an unknown organisation is a malformed question, and a missing key is shown as a refusal. The default stall time is 4 s, above the 3 s that deployments give for a head, and 16 clients may stall; the tests of abusive clients state their lower limits in their settings.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ExplainActions.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ExplainActions.java
@@ -15,6 +15,7 @@
 import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.routing.Balancing;
 import org.parsleycart.decision.routing.RoutingExplanation;
 import org.parsleycart.decision.routing.RoutingState;
 import org.parsleycart.decision.routing.ServiceExplanation;
@@ -22,6 +23,7 @@
 import org.parsleycart.decision.routing.UpstreamLoadTable;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
+import org.parsleycart.model.Organisation;
 import org.parsleycart.model.Route;
 
 /**
@@ -29,10 +31,13 @@
  * and no state changes.
  */
 public final class ExplainActions {
+  private static final int ALL_REQUESTS = 1000; // in thousandths
+
   private final MeshState state;
   private final GossipWorker gossip;
   private final LocalUpstreams upstreams;
   private final UpstreamLoadTable loads;
+  private final Balancing balancing;
   private final InstantSource clock;
 
   // -- construction
@@ -43,11 +48,13 @@
       GossipWorker gossip,
       LocalUpstreams upstreams,
       UpstreamLoadTable loads,
+      Balancing balancing,
       InstantSource clock) {
     this.state = requireNonNull(state, "state is null");
     this.gossip = requireNonNull(gossip, "gossip is null");
     this.upstreams = requireNonNull(upstreams, "upstreams is null");
     this.loads = requireNonNull(loads, "loads is null");
+    this.balancing = requireNonNull(balancing, "balancing is null");
     this.clock = requireNonNull(clock, "clock is null");
   }
 
@@ -74,6 +81,14 @@
       return OperatorResponse.error(
           StatusCodes.BAD_REQUEST, "malformed question", List.of("unknown zone \"" + zone + "\""));
     }
+    Optional<String> unknownOrganisation =
+        question.organisation().filter(name -> configuration.organisation(name).isEmpty());
+    if (unknownOrganisation.isPresent()) {
+      return OperatorResponse.error(
+          StatusCodes.BAD_REQUEST,
+          "malformed question",
+          List.of("unknown organisation \"" + unknownOrganisation.get() + "\""));
+    }
     return configuration
         .routeFor(question.host(), question.path(), state.labels())
         .flatMap(
@@ -103,23 +118,29 @@
       Contract contract) {
     Instant now = clock.instant();
     MembershipView view = gossip.view();
-    RoutingState routing =
-        new RoutingState(
-            configuration, state.facts(), view.records(), directory(configuration, zone), loads);
-    List<ServiceExplanation> services =
-        new RoutingExplanation(routing, question.tried(), now).explain(route);
     Duration deadline =
         question
             .deadline()
             .filter(stated -> stated.compareTo(contract.deadline()) < 0)
             .orElse(contract.deadline());
     Instant endsBy = now.plus(deadline);
+    RoutingState routing =
+        new RoutingState(
+            configuration,
+            state.facts(),
+            view.records(),
+            directory(configuration, zone),
+            loads,
+            balancing);
+    List<ServiceExplanation> services =
+        new RoutingExplanation(routing, question.tried(), now, endsBy).explain(route);
     AdmissionRequest<String> request =
         new AdmissionRequest<>(
             question.path(),
-            contract.queueRank(),
+            Organisation.queueRank(
+                question.organisation().flatMap(configuration::organisation), contract),
             route.name(),
-            contract.lateAt(endsBy),
+            configuration.softDeadline(contract, endsBy),
             endsBy,
             question.organisation());
     return OperatorResponse.ok(
@@ -129,7 +150,28 @@
                 zone,
                 configuration.version(),
                 deadline,
-                refusals(services, request)));
+                Stream.concat(
+                        authenticationRefusals(question, configuration, route, services),
+                        refusals(services, request))
+                    .toList()));
+  }
+
+  /** Returns the refusals of a request without a key, to each service it would go to. */
+  private static Stream<ExplanationDocument.Refusal> authenticationRefusals(
+      RoutingQuestion question,
+      Configuration configuration,
+      Route route,
+      List<ServiceExplanation> services) {
+    boolean isKeyMissing =
+        configuration.hasOrganisations()
+            && !route.isPublic()
+            && question.organisation().isEmpty();
+    return services.stream()
+        .filter(unused -> isKeyMissing)
+        .map(
+            service ->
+                new ExplanationDocument.Refusal(
+                    service.service(), "entry", RefusalReason.UNAUTHENTICATED, ALL_REQUESTS));
   }
 
   /** Returns the directory by which calls are routed, as seen from a zone. */
@@ -142,7 +184,7 @@
             other -> state.facts().isWithdrawn(configuration, other));
   }
 
-  private List<ExplanationDocument.Refusal> refusals(
+  private Stream<ExplanationDocument.Refusal> refusals(
       List<ServiceExplanation> services, AdmissionRequest<String> request) {
     Stream<ExplanationDocument.Refusal> withoutUpstream =
         services.stream()
@@ -162,7 +204,7 @@
                         .filter(upstream -> upstream.chosenPerMille() > 0)
                         .flatMap(
                             upstream -> admissionRefusal(service, upstream, request).stream()));
-    return Stream.concat(withoutUpstream, byAdmission).toList();
+    return Stream.concat(withoutUpstream, byAdmission);
   }
 
   /** Returns the refusal by an upstream beside this daemon; other daemons decide on theirs. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ExplanationDocument.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ExplanationDocument.java
@@ -148,6 +148,14 @@
             .with("outstandingCalls", upstream.outstandingCalls())
             .with("utilization", Math.round(upstream.utilization() * HUNDREDTHS) / HUNDREDTHS);
     upstream.reportAge().ifPresent(age -> builder.with("loadAgeMilliseconds", age.toMillis()));
+    upstream
+        .view()
+        .ifPresent(
+            view ->
+                builder
+                    .with("weight", Math.round(view.weight() * HUNDREDTHS) / HUNDREDTHS)
+                    .with("expectedEndMilliseconds", view.estimate().expectedEnd().toMillis())
+                    .with("inTime", view.estimate().isInTime()));
     builder.with("perMille", upstream.chosenPerMille());
     upstream.exclusion().ifPresent(reason -> builder.with("excluded", reason.toString()));
     return builder.build();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ProtectionSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ProtectionSettings.java
@@ -37,6 +37,9 @@
    */
   private static final int RESERVED_DESCRIPTORS = 700;
 
+  /** Longer than the time that deployments give a caller for a head, 3 s. */
+  private static final Duration DEFAULT_STALL_TIME = Duration.ofSeconds(4);
+
   private static final long MEBIBYTE = 1024 * 1024;
 
   // -- construction
@@ -56,9 +59,9 @@
             number(reader, "pipelinedRequests", 1, 10_000, 32),
             number(reader, "headerFields", 1, 10_000, 200),
             reader.number("heldBodyBytes", 1, 1024 * MEBIBYTE).orElse(16 * MEBIBYTE),
-            reader.duration("stallTime").orElse(Duration.ofSeconds(2)),
+            reader.duration("stallTime").orElse(DEFAULT_STALL_TIME),
             reader.duration("maximumStallTime").orElse(Duration.ofSeconds(15)),
-            number(reader, "stalledConnections", 0, 1_000_000, 4));
+            number(reader, "stalledConnections", 0, 1_000_000, 16));
     settings.check(reader);
     return settings;
   }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/SeparateDaemon.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/SeparateDaemon.java
@@ -148,7 +148,8 @@
                 operators: "127.0.0.1:%d", readiness: "127.0.0.1:%d"}
     platform: "%s"
     peerKeys: [test-key-0123456789]
-    limits: {trustsSlots: true, inputOutputThreads: 1, maximumBodyBytes: %d}
+    limits: {trustsSlots: true, inputOutputThreads: 1, maximumBodyBytes: %d,
+             stallTime: 2s, stalledConnections: 4}
     """
         .formatted(
             ports.get(0),
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RoutingExplanation.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RoutingExplanation.java
@@ -37,6 +37,7 @@
   private final UpstreamSelection selection;
   private final Set<String> tried;
   private final Instant now;
+  private final Instant deadline;
 
   /** The results of the trials for one service. */
   private record Trials(Map<VersionChoice, Integer> choices, Map<Candidate, Integer> candidates) {
@@ -55,13 +56,15 @@
    * Creates an explanation.
    *
    * @param tried identifiers of the upstreams that the call has already tried
+   * @param deadline when an answer becomes useless
    */
-  public RoutingExplanation(RoutingState state, Set<String> tried, Instant now) {
+  public RoutingExplanation(RoutingState state, Set<String> tried, Instant now, Instant deadline) {
     this.state = requireNonNull(state, "state is null");
     this.loads = state.loads().copy();
-    this.selection = new UpstreamSelection(loads);
+    this.selection = new UpstreamSelection(loads, state.balancing());
     this.tried = Set.copyOf(tried);
     this.now = requireNonNull(now, "now is null");
+    this.deadline = requireNonNull(deadline, "deadline is null");
   }
 
   // -- explanation
@@ -106,7 +109,9 @@
       trials.choices().merge(choice, 1, Integer::sum);
       choice
           .firstOf(
-              state.directory(), service.name(), pool -> selection.choose(pool, tried, now, random))
+              state.directory(),
+              service.name(),
+              pool -> selection.choose(pool, tried, now, deadline, random))
           .ifPresent(candidate -> trials.candidates().merge(candidate, 1, Integer::sum));
     }
     return trials;
@@ -139,7 +144,17 @@
         load.outstandingCalls(),
         load.utilization(),
         load.reportAge(now),
-        chosen);
+        chosen,
+        view(candidate));
+  }
+
+  /** Returns how the selection compares a candidate, empty for one that gets no calls. */
+  private Optional<CandidateView> view(Candidate candidate) {
+    CandidatePool pool =
+        state.directory().pool(candidate.upstream().service(), candidate.upstream().version());
+    return selection.explain(pool, tried, now, deadline).stream()
+        .filter(view -> view.candidate().equals(candidate))
+        .findFirst();
   }
 
   private static Optional<Exclusion> exclusionByVersion(
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingExplanationTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingExplanationTest.java
@@ -13,6 +13,8 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.admission.WarmUpState;
@@ -39,7 +41,10 @@
   private static final Route ROUTE =
       new Route("read", "/read", "ledger", "contract", Selector.all());
 
+  private static final Instant DEADLINE = NOW.plusSeconds(2);
+
   private final UpstreamLoadTable loads = new UpstreamLoadTable();
+  private Balancing balancing = Balancing.TWO_CHOICES;
 
   private static MemberRecord member(
       String name, MemberStatus status, String zone, String version, boolean isDraining) {
@@ -88,11 +93,12 @@
         new UrgentFacts(),
         List.of(members),
         UpstreamDirectory.of(Stream.of(members), "abdali", "swefieh"::equals),
-        loads);
+        loads,
+        balancing);
   }
 
   private ServiceExplanation explain(Set<String> tried, RoutingState state) {
-    return new RoutingExplanation(state, tried, NOW).explain(ROUTE).get(0);
+    return new RoutingExplanation(state, tried, NOW, DEADLINE).explain(ROUTE).get(0);
   }
 
   private static Map<String, Optional<Exclusion>> exclusions(ServiceExplanation explanation) {
@@ -126,8 +132,10 @@
   }
 
   /** Compares the shares with those of the code that routes calls. */
-  @Test
-  void shouldAgreeWithTheSelectionWhenLoadsDiffer() {
+  @ParameterizedTest
+  @EnumSource
+  void shouldAgreeWithTheSelectionWhenLoadsDiffer(Balancing anyBalancing) {
+    balancing = anyBalancing;
     MemberRecord idle = member("idle", "v1");
     MemberRecord half = member("half", "v1");
     MemberRecord full = member("full", "v1");
@@ -140,13 +148,14 @@
     ServiceExplanation explanation = explain(Set.of(), state);
 
     Random random = new Random(5);
-    UpstreamSelection selection = new UpstreamSelection(loads);
+    UpstreamSelection selection = new UpstreamSelection(loads, balancing);
     Map<String, Long> chosen =
         IntStream.range(0, 10_000)
             .mapToObj(
                 call ->
                     selection
-                        .choose(state.directory().pool("ledger", "v1"), Set.of(), NOW, random)
+                        .choose(
+                            state.directory().pool("ledger", "v1"), Set.of(), NOW, DEADLINE, random)
                         .orElseThrow()
                         .identifier())
             .collect(Collectors.groupingBy(name -> name, Collectors.counting()));
