--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ExplainActions.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/ExplainActions.java
@@ -163,9 +163,7 @@
       Route route,
       List<ServiceExplanation> services) {
     boolean isKeyMissing =
-        configuration.hasOrganisations()
-            && !route.isPublic()
-            && question.organisation().isEmpty();
+        configuration.hasOrganisations() && !route.isPublic() && question.organisation().isEmpty();
     return services.stream()
         .filter(unused -> isKeyMissing)
         .map(
