--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/MembershipView.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/MembershipView.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 import org.parsleycart.decision.membership.MemberRecord;
 import org.parsleycart.decision.membership.MemberStatus;
+import org.parsleycart.decision.membership.RendezvousHash;
 
 /**
  * An immutable snapshot of the members that any thread may read.
@@ -37,6 +38,17 @@
         .toList();
   }
 
+  /**
+   * Returns whether this daemon is among the first living members by rendezvous hashing.
+   *
+   * @param key what the members are chosen for
+   * @param count how many are chosen
+   */
+  public boolean isSelfAmongOwners(String key, int count) {
+    return RendezvousHash.owners(alive().map(MemberRecord::identifier), key, count)
+        .contains(self.identifier());
+  }
+
   /** Returns the number of members that are present, including this daemon. */
   public int size() {
     return (int) records.stream().filter(record -> record.status().isPresent()).count();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageWorker.java
@@ -12,8 +12,6 @@
 import java.util.function.Supplier;
 import org.parsleycart.daemon.control.UsageRows.DepartedUsage;
 import org.parsleycart.daemon.state.WorkerHealth;
-import org.parsleycart.decision.membership.MemberRecord;
-import org.parsleycart.decision.membership.RendezvousHash;
 import org.parsleycart.decision.usage.ClockReading;
 import org.parsleycart.decision.usage.DutyHolder;
 import org.parsleycart.decision.usage.DutyOperation;
@@ -56,8 +54,6 @@
   /** A new holder waits this long for answers that show whether its wall clock is right. */
   private static final long CLOCK_CHECK_MILLISECONDS = 1500;
 
-  private static final long CLOCK_STEP_MILLISECONDS = 500;
-
   private final LocalUsage localUsage;
   private final Supplier<MembershipView> members;
   private final UsageRows rows;
@@ -65,13 +61,13 @@
   private final UsageGathering gathering;
   private final UsageSchedule schedule;
   private final Supplier<ClockReading> clocks;
+  private final WallClockSteps wallClockSteps;
   private final UsageStatistics statistics;
   private final Random random;
   private final WorkerLoop loop;
   private DutyHolder duty;
   private long actingToken;
   private long clocksUncheckedSince;
-  private long wallClockOffset;
   private long cleanedThrough = Long.MIN_VALUE;
   private long departedReadAt = Long.MIN_VALUE / 2;
   private List<DepartedUsage> departed = List.of();
@@ -128,8 +124,7 @@
     this.clocks = requireNonNull(clocks, "clocks is null");
     this.statistics = requireNonNull(statistics, "statistics is null");
     this.random = requireNonNull(random, "random is null");
-    ClockReading now = clocks.get();
-    this.wallClockOffset = now.wall() - now.boot();
+    this.wallClockSteps = new WallClockSteps(clocks);
     this.loop = new WorkerLoop("usage", this::step, health);
   }
 
@@ -174,7 +169,7 @@
       resign("this daemon stops");
       return false;
     }
-    if (!duty.lease().isHeld(now) && !isCandidate(view)) {
+    if (!duty.lease().isHeld(now) && !view.isSelfAmongOwners(CANDIDATE_KEY, CANDIDATES)) {
       noteHolding(now);
       return false;
     }
@@ -190,26 +185,17 @@
   }
 
   private void noteWallClock(ClockReading now) {
-    long offset = now.wall() - now.boot();
-    if (Math.abs(offset - wallClockOffset) > CLOCK_STEP_MILLISECONDS) {
-      // The process may have waited for the processor between the readings of two clocks.
-      ClockReading again = clocks.get();
-      offset = again.wall() - again.boot();
-    }
-    if (Math.abs(offset - wallClockOffset) > CLOCK_STEP_MILLISECONDS) {
-      Logger.warn(
-          "wall clock stepped by {} milliseconds: usage counts in the windows of the new time",
-          offset - wallClockOffset);
-      clocksUncheckedSince = now.boot();
-      gathering.restartClockCheck();
-    }
-    wallClockOffset = offset;
-  }
-
-  private boolean isCandidate(MembershipView view) {
-    return RendezvousHash.owners(
-            view.alive().map(MemberRecord::identifier), CANDIDATE_KEY, CANDIDATES)
-        .contains(localUsage.identifier());
+    wallClockSteps
+        .detect(now)
+        .ifPresent(
+            milliseconds -> {
+              Logger.warn(
+                  "wall clock stepped by {} milliseconds: usage counts in the windows of the new"
+                      + " time",
+                  milliseconds);
+              clocksUncheckedSince = now.boot();
+              gathering.restartClockCheck();
+            });
   }
 
   private void noteHolding(ClockReading now) {
