--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -269,6 +269,12 @@
     return deadlines.shortest();
   }
 
+  /** Returns whether upstreams make calls under the contract while they run other calls. */
+  public boolean isForNestedCalls(Contract contract) {
+    requireNonNull(contract, "contract is null");
+    return deadlines.isForNestedCalls(contract);
+  }
+
   /**
    * Returns the instant from which the answer to a call is of little use: the deadline for calls
    * that upstreams make while they run other calls, and the end of the latency objective otherwise.
@@ -277,8 +283,7 @@
    * @param deadline the deadline of the call
    */
   public Instant softDeadline(Contract contract, Instant deadline) {
-    requireNonNull(contract, "contract is null");
-    return deadlines.isForNestedCalls(contract) ? deadline : contract.lateAt(deadline);
+    return isForNestedCalls(contract) ? deadline : contract.lateAt(deadline);
   }
 
   public Optional<Contract> contractOfRoute(String routeName) {
