Contend for the lease of the usage duty only with known members

A daemon that starts knows only itself, so each one was a candidate. Change: the worker gets the members once the daemon serves calls, which is after it knows peers.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -136,8 +136,7 @@
         new MaintenanceWorker(state, upstreams, control.gossip(), telemetry.events()),
         rolloutWorker(state, control, changeAcceptor, localEvidence),
         departures,
-        UsageComponents.worker(
-            settings, control, localUsage, telemetry.registry(), state.workers()),
+        UsageComponents.worker(settings, control, localUsage, telemetry.registry(), state),
         callsInProgress.countingHandler(new EntryHandler(entryDependencies)),
         admissionHandler(settings, state, admission, signer, telemetry, entryDependencies, clock),
         new UpstreamLifecycleHandler(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/UsageComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/UsageComponents.java
@@ -9,7 +9,7 @@
 import org.parsleycart.daemon.control.UsageWorker;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.daemon.settings.DutySettings;
-import org.parsleycart.daemon.state.WorkerHealth;
+import org.parsleycart.daemon.state.MeshState;
 import org.parsleycart.decision.usage.DutyHolder;
 import org.parsleycart.decision.usage.LeaseState;
 import org.parsleycart.decision.usage.UsageCounts;
@@ -42,7 +42,7 @@
       ControlComponents control,
       LocalUsage localUsage,
       MeterRegistry registry,
-      WorkerHealth health) {
+      MeshState state) {
     return settings
         .usageDuty()
         .map(
@@ -52,7 +52,7 @@
               DaemonMetrics.registerUsage(registry, statistics);
               return UsageWorker.create(
                   localUsage,
-                  control.gossip()::view,
+                  () -> Optional.of(control.gossip().view()).filter(view -> state.isServing()),
                   control.table(),
                   control.frameClient(),
                   new UsageReporter(
@@ -60,7 +60,7 @@
                   holder(duty, clocks),
                   clocks,
                   statistics,
-                  health);
+                  state.workers());
             });
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageWorker.java
@@ -55,7 +55,7 @@
   private static final long CLOCK_CHECK_MILLISECONDS = 1500;
 
   private final LocalUsage localUsage;
-  private final Supplier<MembershipView> members;
+  private final Supplier<Optional<MembershipView>> members;
   private final UsageRows rows;
   private final UsageReporter reporter;
   private final UsageGathering gathering;
@@ -75,10 +75,15 @@
 
   // -- construction
 
-  /** Creates a worker with a gathering of its own; {@link #start} starts its thread. */
+  /**
+   * Creates a worker with a gathering of its own; {@link #start} starts its thread.
+   *
+   * @param members supplies the members, empty until this daemon knows them; before that, each
+   *     daemon would contend for the lease
+   */
   public static UsageWorker create(
       LocalUsage localUsage,
-      Supplier<MembershipView> members,
+      Supplier<Optional<MembershipView>> members,
       TransactionalTable table,
       FrameClient frameClient,
       UsageReporter reporter,
@@ -105,7 +110,7 @@
 
   private UsageWorker(
       LocalUsage localUsage,
-      Supplier<MembershipView> members,
+      Supplier<Optional<MembershipView>> members,
       UsageRows rows,
       UsageReporter reporter,
       UsageGathering gathering,
@@ -162,7 +167,11 @@
   /** Makes the calls that are due; returns whether this daemon is the holder or a candidate. */
   boolean act() {
     ClockReading now = clocks.get();
-    MembershipView view = members.get();
+    Optional<MembershipView> known = members.get();
+    if (known.isEmpty()) {
+      return false;
+    }
+    MembershipView view = known.get();
     noteWallClock(now);
     gathering.observe(view.otherIdentifiers(), Instant.ofEpochMilli(now.wall()));
     if (isStopping) {
@@ -189,10 +198,7 @@
         .detect(now)
         .ifPresent(
             milliseconds -> {
-              Logger.warn(
-                  "wall clock stepped by {} milliseconds: usage counts in the windows of the new"
-                      + " time",
-                  milliseconds);
+              Logger.warn("wall clock stepped by {} ms: usage follows the new time", milliseconds);
               clocksUncheckedSince = now.boot();
               gathering.restartClockCheck();
             });
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/control/UsageWorkerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/control/UsageWorkerTest.java
@@ -198,7 +198,9 @@
     ClockReading started = reading();
     return UsageWorker.create(
         new LocalUsage(identifier, 1, Optional.of(counts), clock),
-        () -> new MembershipView(member(identifier), List.of(member(SELF), member(peer))),
+        () ->
+            Optional.of(
+                new MembershipView(member(identifier), List.of(member(SELF), member(peer)))),
         rows,
         new FrameClient(codec, new ControlTrafficCounters()),
         new UsageReporter(client, platform.address(), name),
