Count a request before its refusal is written, in the test of repeated answers

The value was 0 when it was compared and 1 when the message was made: the script counted after it had written its answer, so the caller could be answered first. Change: the script counts first. What is asserted is the same. Result: the order of the two steps decides it; the whole script runs on this commit.

--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/RepeatedAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/RepeatedAnswerTest.java
@@ -106,8 +106,9 @@
     SocketUpstream.Script refusing =
         (request, socket) -> {
           String identifier = request.header("Parsleycart-Attempt-Id").orElse("");
-          SocketUpstream.write(socket, refusal(identifier) + refusal(identifier));
+          // Counted first, because the caller may get its answer before the script continues.
           refused.incrementAndGet();
+          SocketUpstream.write(socket, refusal(identifier) + refusal(identifier));
           return true;
         };
     try (PlatformMesh mesh = PlatformMesh.start(PLATFORM_CONFIGURATION, "one", "two");
