--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -113,28 +113,13 @@
             call.route(),
             state.configuration().softDeadline(call.contract(), call.deadline()),
             call.deadline(),
-            call.organisation(),
-            isNestedInService(upstream, call));
+            call.organisation());
     // The first heartbeat may precede the configuration that limits the calls of a cold upstream.
     upstream.admission().setColdCallsPerSecond(coldCallsPerSecond(upstream));
     call.cancellation().onCancel(() -> cancelWaiting(upstream, call));
     applyDecision(upstream, upstream.admission().offer(request));
   }
 
-  /** Returns whether an upstream of the same service makes the call while it runs another one. */
-  private boolean isNestedInService(LocalUpstream upstream, LocalCall call) {
-    Optional<String> caller =
-        call.callerService()
-            .or(
-                () ->
-                    Optional.ofNullable(
-                        call.exchange()
-                            .getRequestHeaders()
-                            .getFirst(dialect.headers().callerService())));
-    return state.configuration().isForNestedCalls(call.contract())
-        && caller.equals(Optional.of(upstream.announced().service()));
-  }
-
   private OptionalDouble coldCallsPerSecond(LocalUpstream upstream) {
     return state
         .configuration()
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -40,7 +40,6 @@
   private final InstantSource clock;
   private final ConcurrencyLimit limit;
   private final FairQueue<C> queue = new FairQueue<>();
-  private final NestedCallReserve nestedCallReserve = new NestedCallReserve();
   private Optional<RefusalReason> closedReason = Optional.empty();
   private final ColdStartRateLimiter coldStartLimiter;
   private final StatedRateLimiter statedRateLimiter;
@@ -103,7 +102,6 @@
     }
     queueLastEmptyAt = queue.isEmpty() ? clock.instant() : queueLastEmptyAt;
     List<AdmissionDecision.Refusal<C>> refusals = new ArrayList<>();
-    nestedCallReserve.recordOffer(request, clock.instant());
     queue.add(request);
     List<AdmissionRequest<C>> admitted = admitQueued(refusals);
     if (queue.size() > settings.queueLength()) {
@@ -268,10 +266,8 @@
   private List<AdmissionRequest<C>> admitQueued(List<AdmissionDecision.Refusal<C>> refusals) {
     List<AdmissionRequest<C>> admitted = new ArrayList<>();
     Instant now = clock.instant();
-    for (var startable = pollStartable(now);
-        startable.isPresent();
-        startable = pollStartable(now)) {
-      AdmissionRequest<C> next = startable.get();
+    while (running < maximumRunning() && !queue.isEmpty() && coldStartLimiter.isStartAllowed(now)) {
+      AdmissionRequest<C> next = queue.poll().orElseThrow();
       Optional<RefusalReason> refusalReason =
           statedRateLimiter.isStartAllowed(now)
               ? lateReason(next, now, queue.size())
@@ -290,12 +286,6 @@
     return admitted;
   }
 
-  private Optional<AdmissionRequest<C>> pollStartable(Instant now) {
-    return coldStartLimiter.isStartAllowed(now)
-        ? nestedCallReserve.pollStartable(queue, running, maximumRunning(), now)
-        : Optional.empty();
-  }
-
   private int maximumRunning() {
     return isStatedRateKnown
         ? limit.current()
@@ -376,10 +366,7 @@
   public synchronized LoadReport load() {
     WarmUpState warmUpState =
         coldStartLimiter.isCold(clock.instant()) ? WarmUpState.COLD : limit.warmUpState();
-    return new LoadReport(
-        running + queue.size(),
-        statedRateLimiter.sustainedCalls(meanLatency, maximumRunning()),
-        warmUpState);
+    return new LoadReport(running + queue.size(), sustainedCalls(), warmUpState);
   }
 
   /** Returns the calls per second that the upstream states to take, or empty for no limit. */
@@ -387,6 +374,15 @@
     return statedRateLimiter.callsPerSecond();
   }
 
+  /** Returns the calls that run at once while calls start at the stated rate, within the limit. */
+  private int sustainedCalls() {
+    return statedRateLimiter.callsPerSecond().stream()
+        .mapToInt(rate -> (int) Math.ceil(rate * meanLatency.seconds()))
+        .map(calls -> Math.max(1, Math.min(calls, maximumRunning())))
+        .findFirst()
+        .orElse(maximumRunning());
+  }
+
   /** Returns when the upstream started or last became cold. */
   public synchronized Instant coldSince() {
     return coldSince;
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionRequest.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionRequest.java
@@ -15,8 +15,6 @@
  * @param softDeadline when an answer becomes late; not after the deadline
  * @param deadline when an answer becomes useless
  * @param organisation the organisation of the caller, empty if it has none
- * @param isNestedInService whether an upstream of the same service makes the call while it runs
- *     another one
  * @param <C> the type of the object that represents the call
  */
 public record AdmissionRequest<C>(
@@ -25,8 +23,7 @@
     String route,
     Instant softDeadline,
     Instant deadline,
-    Optional<String> organisation,
-    boolean isNestedInService) {
+    Optional<String> organisation) {
 
   // -- construction
 
@@ -38,17 +35,6 @@
     requireNonNull(organisation, "organisation is null");
   }
 
-  /** Creates a request that is not nested in a call of its own service. */
-  public AdmissionRequest(
-      C call,
-      int priority,
-      String route,
-      Instant softDeadline,
-      Instant deadline,
-      Optional<String> organisation) {
-    this(call, priority, route, softDeadline, deadline, organisation, false);
-  }
-
   /** Creates a request of a caller without an organisation. */
   public AdmissionRequest(
       C call, int priority, String route, Instant softDeadline, Instant deadline) {
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/FairQueue.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/FairQueue.java
@@ -191,23 +191,7 @@
     return next;
   }
 
-  /**
-   * Removes and returns the request with the highest rank and then the earliest deadline among
-   * those that match, empty if none does.
-   */
-  Optional<AdmissionRequest<C>> pollFirst(Predicate<AdmissionRequest<C>> predicate) {
-    requireNonNull(predicate, "predicate is null");
-    Optional<AdmissionRequest<C>> first =
-        stream().filter(predicate).min(AdmissionRequest.queueOrder());
-    first.ifPresent(
-        request -> {
-          queuesByOrganisation.get(request.organisation()).remove(request);
-          removeEmptyQueues();
-        });
-    return first;
-  }
-
-  /** Records that a polled request runs. */
+  /** Records that a request that {@link #poll} returned runs. */
   void recordStart(AdmissionRequest<C> request) {
     if (firstRound(request) > 0) {
       // The polled request is the first in order, so all that wait in its rank have been served.
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/StatedRateLimiter.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/StatedRateLimiter.java
@@ -80,18 +80,4 @@
   private double maximumSavedCalls() {
     return Math.max(1, callsPerSecond.orElse(0) * MAXIMUM_SAVED.toNanos() / NANOSECONDS_PER_SECOND);
   }
-
-  /**
-   * Returns the calls that run at once while calls start at the stated rate.
-   *
-   * @param meanLatency the mean latency of calls
-   * @param maximum the calls that run at once without a stated rate
-   */
-  int sustainedCalls(MeanLatency meanLatency, int maximum) {
-    return callsPerSecond().stream()
-        .mapToInt(rate -> (int) Math.ceil(rate * meanLatency.seconds()))
-        .map(calls -> Math.max(1, Math.min(calls, maximum)))
-        .findFirst()
-        .orElse(maximum);
-  }
 }
