--- a/review/standins-2/DrainedQueue.java
+++ b/review/standins-2/DrainedQueue.java
@@ -85,6 +85,7 @@
       client.send(
           Client.head("POST", "/book/x", identifier, TIMEOUT_MILLISECONDS)
               + "Content-Length: 4\r\n\r\nbody");
+      mesh.record("client: %s is sent", identifier);
       Client.Answer answer = client.read();
       answered.addAndGet(answer.status() == 200 ? 1 : 0);
       mesh.record("client: %s is answered %d", identifier, answer.status());
--- a/review/standins-2/Mesh.java
+++ b/review/standins-2/Mesh.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -40,6 +41,9 @@
 
   static final String ZONE = "zone-1";
 
+  private static final int LOWEST_PORT = 12_000;
+  private static final int HIGHEST_PORT = 32_000;
+
   private final Path root;
   private final Path work;
   private final PrintWriter record;
@@ -221,9 +225,18 @@
     return List.of(matcher.group(1).split(" +"));
   }
 
-  static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
+  /**
+   * Returns an address with a free port below those that the system gives to outgoing connections,
+   * which could take the port before the daemon does.
+   */
+  private static String freeAddress() {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return "127.0.0.1:" + socket.getLocalPort();
+      } catch (IOException e) {
+        // The port is in use.
+      }
     }
   }
 
