--- a/review/standins-2/SecondOrder.java
+++ b/review/standins-2/SecondOrder.java
@@ -5,7 +5,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A bad version is rolled back, and the operator orders another one before its servers leave. */
+/**
+ * The operator orders another version while the servers of a bad one are there: after the bad one
+ * was rolled back, or while its rollout is under way.
+ */
 final class SecondOrder {
   private static final int DURATION_SECONDS = 12;
   private static final double CANARY_SHARE = 0.1;
@@ -22,7 +25,11 @@
 
   private static final int SECOND_ORDER_AFTER_MILLISECONDS = 500;
 
+  /** When the order is replaced, from the start of its servers. */
+  private static final int REPLACED_AFTER_MILLISECONDS = 2000;
+
   private final Mesh mesh;
+  private final boolean isReplaced;
   private final AtomicInteger toService = new AtomicInteger();
   private final AtomicInteger toBadVersion = new AtomicInteger();
   private final AtomicInteger badAnswers = new AtomicInteger();
@@ -33,15 +40,22 @@
   private volatile boolean isOrdered;
   private volatile boolean isOver;
 
-  private SecondOrder(Mesh mesh) {
+  /**
+   * Creates a case.
+   *
+   * @param isReplaced whether the second order comes while the rollout of the first is under way
+   */
+  SecondOrder(Mesh mesh, boolean isReplaced) {
     this.mesh = mesh;
+    this.isReplaced = isReplaced;
   }
 
   public static void main(String[] arguments) {
-    Mesh.play(arguments, mesh -> new SecondOrder(mesh).play());
+    Mesh.play(arguments, mesh -> new SecondOrder(mesh, false).play());
   }
 
-  private boolean play() throws Exception {
+  /** Returns whether the rule was broken. */
+  boolean play() throws Exception {
     mesh.configure("r1", Mesh.route("look", "/look/", "safe", 1000, 400));
     List<Mesh.Daemon> daemons = new ArrayList<>();
     for (int number = 1; number <= 6; number++) {
@@ -63,14 +77,18 @@
     List<Server> badServers =
         List.of(server("i-bad-1", "v2", daemons.get(2)), server("i-bad-2", "v2", daemons.get(3)));
     badServers.forEach(Server::start);
-    awaitRollBack();
-    TimeUnit.MILLISECONDS.sleep(SECOND_ORDER_AFTER_MILLISECONDS);
-    if (Mesh.hasTrouble()) {
-      order("v3");
-      server("i-new-1", "v3", daemons.get(4)).start();
-      server("i-new-2", "v3", daemons.get(5)).start();
+    if (isReplaced && Mesh.hasTrouble()) {
+      TimeUnit.MILLISECONDS.sleep(REPLACED_AFTER_MILLISECONDS);
+      orderSoundVersion(daemons);
+      TimeUnit.MILLISECONDS.sleep(countedUntil - mesh.now());
+    } else {
+      awaitRollBack();
+      TimeUnit.MILLISECONDS.sleep(SECOND_ORDER_AFTER_MILLISECONDS);
+      if (Mesh.hasTrouble()) {
+        orderSoundVersion(daemons);
+      }
+      TimeUnit.MILLISECONDS.sleep(LEAVES_AFTER_MILLISECONDS - SECOND_ORDER_AFTER_MILLISECONDS);
     }
-    TimeUnit.MILLISECONDS.sleep(LEAVES_AFTER_MILLISECONDS - SECOND_ORDER_AFTER_MILLISECONDS);
     for (Server server : badServers) {
       mesh.record("%s: leaves, acknowledged: %s", server.identifier, server.drain());
     }
@@ -92,6 +110,12 @@
     return toBadVersion.get() > bound || tooLate.get() > 0;
   }
 
+  private void orderSoundVersion(List<Mesh.Daemon> daemons) throws Exception {
+    order("v3");
+    server("i-new-1", "v3", daemons.get(4)).start();
+    server("i-new-2", "v3", daemons.get(5)).start();
+  }
+
   private void order(String version) {
     mesh.record("operator: orders a rollout to %s", version);
     mesh.store.put(
