--- a/review/standins-2/LeftCallers.java
+++ b/review/standins-2/LeftCallers.java
@@ -10,7 +10,10 @@
   private static final int FEW = 5;
 
   private static final int REACHES_LATE_MILLISECONDS = 500;
-  private static final int REQUESTS = 120;
+
+  /** One every 50 ms for 5.5 s, the time for which clients leave in the list of the site. */
+  private static final int REQUESTS = 110;
+
   private static final int PAUSE_MILLISECONDS = 50;
   private static final int WORK_MILLISECONDS = 700;
   private static final int TIMEOUT_MILLISECONDS = 5000;
--- a/review/standins-2/SecondOrder.java
+++ b/review/standins-2/SecondOrder.java
@@ -10,7 +10,7 @@
  * was rolled back, or while its rollout is under way.
  */
 final class SecondOrder {
-  private static final int DURATION_SECONDS = 12;
+  private static final int DURATION_SECONDS = 16;
   private static final double CANARY_SHARE = 0.1;
   private static final int CANARY_SLACK = 50;
   private static final int ROLLBACK_MILLISECONDS = 5000;
@@ -18,7 +18,7 @@
   /** The number of bad answers after which the time of the rule runs. */
   private static final int BAD_ANSWERS = 50;
 
-  private static final int REQUESTS_PER_SECOND = 150;
+  private static final int REQUESTS_PER_SECOND = 200;
 
   /** When the new servers leave, from the roll-back: "some seconds later". */
   private static final int LEAVES_AFTER_MILLISECONDS = 6000;
