--- a/review/standins-2/Mesh.java
+++ b/review/standins-2/Mesh.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -42,7 +41,11 @@
   static final String ZONE = "zone-1";
 
   private static final int LOWEST_PORT = 12_000;
-  private static final int HIGHEST_PORT = 32_000;
+  private static final int PORTS_PER_BLOCK = 200;
+  private static final int BLOCKS = 100;
+
+  private static int nextPort =
+      LOWEST_PORT + (int) (ProcessHandle.current().pid() % BLOCKS) * PORTS_PER_BLOCK;
 
   private final Path root;
   private final Path work;
@@ -226,12 +229,13 @@
   }
 
   /**
-   * Returns an address with a free port below those that the system gives to outgoing connections,
-   * which could take the port before the daemon does.
+   * Returns an address with a free port, each port once. The ports lie below those that the system
+   * gives to outgoing connections, and each process of a case has a block of its own, so that nothing
+   * takes a port before the daemon does.
    */
-  private static String freeAddress() {
+  private static synchronized String freeAddress() {
     while (true) {
-      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+      int port = nextPort++;
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
         return "127.0.0.1:" + socket.getLocalPort();
       } catch (IOException e) {
