--- a/review/standins-3/Mesh.java
+++ b/review/standins-3/Mesh.java
@@ -22,7 +22,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -39,6 +41,8 @@
           + "budgetWindowS=10,budgetSlack=58,canaryShare=0.1,canarySlack=50,rollbackMs=5000,"
           + "coldMultiplier=1.5,coldSlack=5,evacMs=5000,recoverS=15";
 
+  private static final Set<Integer> TAKEN_PORTS = ConcurrentHashMap.newKeySet();
+
   final Path root;
   final Path work;
   final Store store = new Store();
@@ -94,12 +98,14 @@
     return false;
   }
 
-  /** Returns a free port below those that the system gives to clients. */
+  /** Returns a free port below those that the system gives to clients, each only once. */
   static int freePort() throws IOException {
     while (true) {
       int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
-        return socket.getLocalPort();
+        if (TAKEN_PORTS.add(socket.getLocalPort())) {
+          return port;
+        }
       } catch (BindException e) {
         // Taken: try another one.
       }
