--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,3 +10,5 @@
 fi
 mkdir -p review/standins-2/target
 javac -Xlint:all -encoding UTF-8 -cp "$jar" -d review/standins-2/target review/standins-2/*.java
+mkdir -p review/standins-2/crowds/target
+javac -Xlint:all -encoding UTF-8 -d review/standins-2/crowds/target review/standins-2/crowds/*.java
--- a/review/standins-3/HeadCrowd.java
+++ b/review/standins-2/crowds/ParameterCrowd.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** A crowd of whole requests of legal size with many short parameters ends a daemon. */
-final class HeadCrowd {
+final class ParameterCrowd {
   private static final int CROWD = 600;
   private static final int PARAMETERS = 990;
   private static final int THREADS = 8;
@@ -24,7 +24,7 @@
   private static final int RECOVERY_MILLISECONDS = 5_000;
 
   public static void main(String[] arguments) {
-    Case.run(arguments, HeadCrowd::holds);
+    Case.run(arguments, ParameterCrowd::holds);
   }
 
   private static boolean holds(Mesh mesh) throws Exception {
@@ -42,7 +42,7 @@
       daemon.start();
     }
     for (Mesh.Daemon beside : daemons.subList(2, 4)) {
-      mesh.server("i-" + beside.name, "back", "v1", 18, beside, HeadCrowd::serve);
+      mesh.server("i-" + beside.name, "back", "v1", 18, beside, ParameterCrowd::serve);
     }
     for (Mesh.Daemon daemon : daemons) {
       Case.require(daemon.awaitReady(20_000), daemon.name + " did not start");
