--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
@@ -98,7 +98,7 @@
         new PullPlanner(
             settings.identifier(),
             new Random(),
-            state.log()::readThroughVersion,
+            state.log()::readThrough,
             () -> isWatcher.get() ? settings.dialect().peerPullDelay() : Duration.ZERO);
     GossipWorker gossip =
         gossipWorker(settings, state, loads, freshness, clock, pullPlanner, peerSync, datagrams);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/GossipWorker.java
@@ -16,6 +16,7 @@
 import org.parsleycart.decision.spreading.PullPlanner;
 import org.parsleycart.link.BoundedQueue;
 import org.parsleycart.link.DatagramLink;
+import org.parsleycart.model.Recency;
 
 /**
  * Runs the gossip protocol: probes members and disseminates membership, versions and urgent facts.
@@ -48,7 +49,7 @@
   private volatile Instant lastReceivedFromOtherZone;
   private volatile boolean hasMembersInOtherZones;
   private long publishedChangeCount = -1;
-  private long publishedVersion = -1;
+  private Optional<Recency> publishedConfiguration = Optional.empty();
   private List<?> publishedFacts = List.of();
   private Instant nextTick;
   private Instant nextPublication;
@@ -134,18 +135,18 @@
 
   private void publishIfChanged(Instant now) {
     MembershipTable table = protocol.table();
-    long version = state.configuration().version();
+    Optional<Recency> configuration = Optional.of(state.configuration().recency());
     List<?> facts = state.facts().all();
     boolean changed =
         table.changeCount() != publishedChangeCount
-            || version != publishedVersion
+            || !configuration.equals(publishedConfiguration)
             || !facts.equals(publishedFacts);
     if (!changed || now.isBefore(nextPublication)) {
       return;
     }
     nextPublication = now.plus(MINIMUM_PUBLICATION_INTERVAL);
     publishedChangeCount = table.changeCount();
-    publishedVersion = version;
+    publishedConfiguration = configuration;
     publishedFacts = facts;
     hasMembersInOtherZones = protocol.hasMembersInOtherZones();
     view = newView();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/MaintenanceWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/MaintenanceWorker.java
@@ -4,6 +4,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -17,6 +18,7 @@
 import org.parsleycart.decision.message.UrgentFact;
 import org.parsleycart.model.AvailabilityZone;
 import org.parsleycart.model.Configuration;
+import org.parsleycart.model.Recency;
 import org.tinylog.Logger;
 
 /**
@@ -26,7 +28,6 @@
  * reopens admission when the zone is withdrawn or returned, and records events for operators.
  */
 public final class MaintenanceWorker {
-  private static final long NEVER_CHECKED = -1;
   private static final long STEP_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final MeshState state;
@@ -36,7 +37,7 @@
   private final WorkerLoop loop;
   private Configuration lastConfiguration;
   private Set<String> lastWithdrawnZones = Set.of();
-  private long zonesCheckedAtVersion = NEVER_CHECKED;
+  private Optional<Recency> zonesChecked = Optional.empty();
   private List<UrgentFact> zonesCheckedWithFacts = List.of();
   private boolean admissionClosed;
 
@@ -87,7 +88,7 @@
 
   private void recordConfigurationChange() {
     Configuration current = state.configuration();
-    if (current.version() != lastConfiguration.version()) {
+    if (!current.recency().equals(lastConfiguration.recency())) {
       events.recordConfigurationChange(lastConfiguration, current);
       lastConfiguration = current;
     }
@@ -96,10 +97,11 @@
   private void recordZoneChanges() {
     Configuration current = state.configuration();
     List<UrgentFact> facts = state.facts().all();
-    if (current.version() == zonesCheckedAtVersion && facts.equals(zonesCheckedWithFacts)) {
+    if (Optional.of(current.recency()).equals(zonesChecked)
+        && facts.equals(zonesCheckedWithFacts)) {
       return;
     }
-    zonesCheckedAtVersion = current.version();
+    zonesChecked = Optional.of(current.recency());
     zonesCheckedWithFacts = facts;
     Set<String> withdrawn =
         current.zones().stream()
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.ObjLongConsumer;
 import org.parsleycart.daemon.state.WorkerHealth;
 import org.parsleycart.decision.membership.BucketDigests;
 import org.parsleycart.decision.message.ControlMessage;
@@ -27,6 +27,7 @@
 import org.parsleycart.link.BoundedQueue;
 import org.parsleycart.link.FrameClient;
 import org.parsleycart.link.LinkError;
+import org.parsleycart.model.Recency;
 import org.tinylog.Logger;
 
 /**
@@ -52,7 +53,7 @@
   private final WorkerLoop pullLoop;
   private final WorkerLoop synchronizationLoop;
   private volatile Consumer<GossipWorker.Command> gossipCommands = command -> {};
-  private volatile ObjLongConsumer<String> peerHeadConsumer = (peer, version) -> {};
+  private volatile BiConsumer<String, Recency> peerHeadConsumer = (peer, held) -> {};
 
   // -- construction
 
@@ -81,9 +82,10 @@
    * Starts both threads.
    *
    * @param gossipWorker receives the results
-   * @param peerHeadConsumer receives the address of each peer that answered and its newest version
+   * @param peerHeadConsumer receives the address of each peer that answered and how recent its
+   *     configuration is
    */
-  public void start(GossipWorker gossipWorker, ObjLongConsumer<String> peerHeadConsumer) {
+  public void start(GossipWorker gossipWorker, BiConsumer<String, Recency> peerHeadConsumer) {
     gossipCommands = gossipWorker::submit;
     this.peerHeadConsumer = requireNonNull(peerHeadConsumer, "peerHeadConsumer is null");
     pullLoop.start();
@@ -212,7 +214,7 @@
     Either<LinkError, ControlMessage> answer =
         frameClient.send(peer, request, PullPlanner.PULL_TIMEOUT);
     if (answer.isRight() && answer.get() instanceof MembershipAnswer membershipAnswer) {
-      peerHeadConsumer.accept(peer, membershipAnswer.head().version());
+      peerHeadConsumer.accept(peer, membershipAnswer.head().recency());
       gossipCommands.accept(
           (protocol, pullPlanner) -> {
             protocol.mergeBulkRecords(membershipAnswer.records());
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformWorker.java
@@ -15,6 +15,7 @@
 import org.parsleycart.decision.spreading.PollSchedule;
 import org.parsleycart.decision.spreading.StartupReadiness;
 import org.parsleycart.link.BoundedQueue;
+import org.parsleycart.model.Recency;
 import org.parsleycart.store.ConfigurationAuthority;
 import org.parsleycart.store.PlatformError;
 import org.tinylog.Logger;
@@ -176,15 +177,15 @@
       return;
     }
     MembershipView view = gossip.view();
-    long version = state.configuration().version();
-    boolean hasNoPublishedVersion = authority.isLongPolling() && version == 0;
+    Recency own = state.configuration().recency();
+    boolean hasNoPublishedVersion = authority.isLongPolling() && own.equals(Recency.NONE);
     boolean isWaitingForPeers = view.size() == 1 && clock.instant().isBefore(peerWaitDeadline);
     if (hasNoPublishedVersion || isWaitingForPeers) {
       return;
     }
-    if (startupReadiness.isReady(version, view.size() - 1)) {
+    if (startupReadiness.isReady(own, view.size() - 1)) {
       state.setReady();
-      Logger.info("ready with configuration version {}", version);
+      Logger.info("ready with configuration version {}", own.version());
     }
   }
 
@@ -226,11 +227,9 @@
     tasks.offer(() -> recordRead(result));
   }
 
-  /**
-   * Records the newest configuration version that a peer reported while this daemon was starting.
-   */
-  public void recordPeerHead(String peer, long version) {
-    tasks.offer(() -> startupReadiness.recordPeerVersion(peer, version));
+  /** Records the newest configuration that a peer reported while this daemon was starting. */
+  public void recordPeerHead(String peer, Recency held) {
+    tasks.offer(() -> startupReadiness.recordPeerVersion(peer, held));
   }
 
   /** Disseminates an urgent fact that this daemon decided. */
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/ConfigurationLog.java
@@ -18,14 +18,15 @@
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.ConfigurationChange;
 import org.parsleycart.model.Digest;
+import org.parsleycart.model.Recency;
 import org.parsleycart.model.Violation;
 
 /**
  * The configuration in force at one daemon and the recent changes that led to it.
  *
  * <p>A version takes effect atomically as an immutable snapshot, and only if its digest matches. A
- * version at or below the one in force never takes effect. Thread-safe: each read sees one
- * consistent state, and updates are serialized.
+ * version no more {@linkplain Recency recent} than the one in force never takes effect.
+ * Thread-safe: each read sees one consistent state, and updates are serialized.
  */
 public final class ConfigurationLog {
   /** The number of changes kept for peers that lag. Peers that need older ones get a snapshot. */
@@ -36,7 +37,7 @@
 
   private final Function<Configuration, Digest> digester;
   private volatile State state;
-  private volatile long readThroughVersion;
+  private volatile Recency readThrough = Recency.NONE;
 
   /** Answers to peers are built once for each version that a peer holds. */
   private record State(
@@ -123,16 +124,15 @@
   }
 
   /**
-   * Returns the version up to which nothing is missing: the version in force, or a later one up to
+   * Returns up to where nothing is missing: the configuration in force, or a more recent one up to
    * which the platform was read.
    */
-  public long readThroughVersion() {
-    return Math.max(readThroughVersion, state.configuration().version());
+  public Recency readThrough() {
+    return Recency.newest(readThrough, state.configuration().recency());
   }
 
   private static ConfigurationHead headOf(State state) {
-    String digest = state.digest().hexadecimal().substring(0, ConfigurationHead.DIGEST_DIGITS);
-    return new ConfigurationHead(state.configuration().version(), digest);
+    return ConfigurationHead.of(state.configuration(), state.digest());
   }
 
   // -- updates
@@ -160,9 +160,7 @@
 
   private Either<ConfigurationUpdateError, Integer> appendDiffs(List<VersionedChange> diffs) {
     State current = state;
-    long newestHeldVersion = readThroughVersion();
-    List<VersionedChange> due =
-        diffs.stream().filter(diff -> diff.version() > newestHeldVersion).toList();
+    List<VersionedChange> due = diffs.stream().filter(this::isDue).toList();
     if (due.isEmpty()) {
       return Either.right(0);
     }
@@ -193,22 +191,31 @@
     return Either.right(applied);
   }
 
+  /**
+   * Returns whether a change leads to a version that is neither in force nor was read from the
+   * platform. A change never lowers the generation.
+   */
+  private boolean isDue(VersionedChange change) {
+    long generation = state.configuration().recency().generation();
+    return new Recency(generation, change.version()).isNewerThan(readThrough());
+  }
+
   /**
    * Installs a complete version that another writer published on the platform.
    *
    * @param published the complete version
-   * @param readThrough the version up to which the platform was read; changes from peers up to it
-   *     are ignored
+   * @param platformReadThrough up to where the platform was read; changes from peers up to it are
+   *     ignored
    * @return whether it took effect; false when it is not newer than the version in force
    */
-  public synchronized boolean applyPublished(Configuration published, long readThrough) {
+  public synchronized boolean applyPublished(Configuration published, Recency platformReadThrough) {
     requireNonNull(published, "published is null");
-    boolean isNewer = published.version() > state.configuration().version();
+    boolean isNewer = published.recency().isNewerThan(state.configuration().recency());
     if (isNewer) {
       Digest digest = digester.apply(published);
       state = new State(published, digest, changesWithDiffTo(published, digest));
     }
-    recordReadThrough(readThrough);
+    recordReadThrough(platformReadThrough);
     return isNewer;
   }
 
@@ -229,11 +236,9 @@
                 published.version(), 0, difference, digest, OptionalLong.of(inForce.version()))));
   }
 
-  /**
-   * Records that the platform was read up to a version. Changes from peers up to it are ignored.
-   */
-  public synchronized void recordReadThrough(long readThrough) {
-    readThroughVersion = Math.max(readThroughVersion, readThrough);
+  /** Records up to where the platform was read. Changes from peers up to there are ignored. */
+  public synchronized void recordReadThrough(Recency platformReadThrough) {
+    readThrough = Recency.newest(readThrough, platformReadThrough);
   }
 
   /**
@@ -245,7 +250,7 @@
     requireNonNull(accepted, "accepted is null");
     State current = state;
     long version = current.configuration().version();
-    if (accepted.version() <= Math.max(version, readThroughVersion)) {
+    if (!isDue(accepted)) {
       return Either.right(false);
     }
     if (accepted.previousVersion() != version) {
@@ -296,7 +301,7 @@
         Configuration.from(bytes).mapLeft(ConfigurationUpdateError.Unreadable::new);
     return parsed.map(
         configuration -> {
-          if (configuration.version() <= readThroughVersion()) {
+          if (!configuration.recency().isNewerThan(readThrough())) {
             return 0;
           }
           state = new State(configuration, digest, List.of());
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/Freshness.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/Freshness.java
@@ -34,7 +34,7 @@
   public void recordPeerConfirmation(
       ConfigurationHead peerHead, Optional<Duration> age, ConfigurationHead ownHead, Instant now) {
     requireNonNull(age, "age is null");
-    if (ownHead.version() >= peerHead.version()) {
+    if (!peerHead.isNewerThan(ownHead)) {
       age.ifPresent(elapsed -> recordConfirmation(now.minus(elapsed)));
     }
   }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PullPlanner.java
@@ -10,12 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.parsleycart.decision.message.ConfigurationHead;
 import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
 import org.parsleycart.decision.message.OutgoingMessage;
+import org.parsleycart.model.Recency;
 
 /**
  * Decides which peer to ask for missing versions, one pull at a time.
@@ -36,7 +36,7 @@
 
   private final String self;
   private final RandomGenerator random;
-  private final LongSupplier readThrough;
+  private final Supplier<Recency> readThrough;
   private final Supplier<Duration> ownReadTimeout;
   private final Map<String, ConfigurationHead> peersAhead = new HashMap<>();
   private Optional<Pull> inFlight = Optional.empty();
@@ -51,21 +51,21 @@
 
   /** Creates a planner for a daemon that does not read the platform itself. */
   public PullPlanner(String self, RandomGenerator random) {
-    this(self, random, () -> 0, () -> Duration.ZERO);
+    this(self, random, () -> Recency.NONE, () -> Duration.ZERO);
   }
 
   /**
    * Creates a planner for a daemon that also reads the platform itself.
    *
    * @param self the identifier of the daemon
-   * @param readThrough supplies the version up to which nothing is missing, whatever peers announce
+   * @param readThrough supplies up to where nothing is missing, whatever peers announce
    * @param ownReadTimeout supplies the time that the daemon's own read of the platform may take
    *     before peers are asked, zero while it does not read
    */
   public PullPlanner(
       String self,
       RandomGenerator random,
-      LongSupplier readThrough,
+      Supplier<Recency> readThrough,
       Supplier<Duration> ownReadTimeout) {
     this.self = requireNonNull(self, "self is null");
     this.random = requireNonNull(random, "random is null");
@@ -79,9 +79,9 @@
    * Records the head that a peer announced. Only peers that hold a newer version are remembered.
    */
   public void recordHead(String peer, ConfigurationHead head, ConfigurationHead ownHead) {
-    boolean isAhead = head.version() > Math.max(ownHead.version(), readThrough.getAsLong());
+    boolean isAhead = head.recency().isNewerThan(newestHeld(ownHead));
     boolean hasDiverged =
-        head.version() == ownHead.version() && !head.digest().equals(ownHead.digest());
+        head.recency().equals(ownHead.recency()) && !head.digest().equals(ownHead.digest());
     if (!isAhead && !hasDiverged) {
       peersAhead.remove(peer);
     } else if (isAhead
@@ -125,8 +125,8 @@
     inFlight
         .filter(pull -> pull.startedAt().plus(PULL_TIMEOUT).isBefore(now))
         .ifPresent(pull -> recordFailure(now));
-    long newestHeldVersion = Math.max(ownHead.version(), readThrough.getAsLong());
-    peersAhead.values().removeIf(head -> head.version() <= newestHeldVersion);
+    Recency newestHeld = newestHeld(ownHead);
+    peersAhead.values().removeIf(head -> !head.recency().isNewerThan(newestHeld));
     if (peersAhead.isEmpty()) {
       behindSince = Optional.empty();
       return Optional.empty();
@@ -139,21 +139,26 @@
     }
     String peer = choosePeer();
     inFlight = Optional.of(new Pull(peer, now));
-    long afterVersion = isSnapshotNeeded ? -1 : ownHead.version();
+    boolean isOfLaterVersion = peersAhead.get(peer).version() > ownHead.version();
+    long afterVersion = isSnapshotNeeded || !isOfLaterVersion ? -1 : ownHead.version();
     return Optional.of(
         new OutgoingMessage(peer, new ConfigurationRequest(self, afterVersion, true)));
   }
 
+  private Recency newestHeld(ConfigurationHead ownHead) {
+    return Recency.newest(ownHead.recency(), readThrough.get());
+  }
+
   private String choosePeer() {
-    long newestVersion =
+    Recency newest =
         peersAhead.values().stream()
-            .max(Comparator.comparing(ConfigurationHead::version))
-            .get()
-            .version();
+            .map(ConfigurationHead::recency)
+            .max(Comparator.naturalOrder())
+            .get();
     List<String> candidates = new ArrayList<>();
     peersAhead.forEach(
         (peer, head) -> {
-          if (head.version() == newestVersion) {
+          if (head.recency().equals(newest)) {
             candidates.add(peer);
           }
         });
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/StartupReadiness.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/StartupReadiness.java
@@ -4,6 +4,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.parsleycart.model.Recency;
 
 /**
  * Decides when a daemon that started without a configuration may serve. Either the platform must
@@ -15,7 +16,7 @@
 public final class StartupReadiness {
   private static final int REQUIRED_PEERS = 2;
 
-  private final Map<String, Long> peerVersions = new HashMap<>();
+  private final Map<String, Recency> peerVersions = new HashMap<>();
   private boolean hasPlatformAnswered;
 
   // -- events
@@ -25,9 +26,9 @@
     hasPlatformAnswered = true;
   }
 
-  /** Records the version that a peer holds. */
-  public void recordPeerVersion(String peer, long version) {
-    peerVersions.merge(requireNonNull(peer, "peer is null"), version, Math::max);
+  /** Records how recent the configuration is that a peer holds. */
+  public void recordPeerVersion(String peer, Recency held) {
+    peerVersions.merge(requireNonNull(peer, "peer is null"), held, Recency::newest);
   }
 
   // -- decision
@@ -35,17 +36,17 @@
   /**
    * Returns whether the daemon may serve.
    *
-   * @param ownVersion the version in force at this daemon
+   * @param own how recent the configuration in force at this daemon is
    * @param knownPeers the number of other known members
    */
-  public boolean isReady(long ownVersion, int knownPeers) {
-    long newestPeerVersion =
-        peerVersions.values().stream().mapToLong(Long::longValue).max().orElse(0);
-    if (ownVersion < newestPeerVersion) {
+  public boolean isReady(Recency own, int knownPeers) {
+    if (peerVersions.values().stream().anyMatch(held -> held.isNewerThan(own))) {
       return false;
     }
     boolean hasEnoughPeers =
-        knownPeers >= REQUIRED_PEERS && peerVersions.size() >= REQUIRED_PEERS && ownVersion > 0;
+        knownPeers >= REQUIRED_PEERS
+            && peerVersions.size() >= REQUIRED_PEERS
+            && own.isNewerThan(Recency.NONE);
     return hasPlatformAnswered || hasEnoughPeers;
   }
 }
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/ConfigurationLogPublishedVersionsTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/ConfigurationLogPublishedVersionsTest.java
@@ -11,6 +11,7 @@
 import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
 import org.parsleycart.model.AvailabilityZone;
 import org.parsleycart.model.Configuration;
+import org.parsleycart.model.Recency;
 
 /** Distribution of complete versions that another writer publishes on the platform. */
 class ConfigurationLogPublishedVersionsTest {
@@ -23,15 +24,19 @@
         .get();
   }
 
+  private static Recency readThrough(long version) {
+    return new Recency(0, version);
+  }
+
   private ConfigurationAnswer answerTo(long afterVersion) {
     return reader.answer(new ConfigurationRequest("peer", afterVersion));
   }
 
   @Test
   void shouldSendADiffWhenThePeerHoldsThePreviousVersion() {
-    reader.applyPublished(published(10, "abdali", "marka"), 10);
+    reader.applyPublished(published(10, "abdali", "marka"), readThrough(10));
     peer.receive(answerTo(-1));
-    reader.applyPublished(published(17, "abdali", "khalda"), 17);
+    reader.applyPublished(published(17, "abdali", "khalda"), readThrough(17));
 
     ConfigurationAnswer answer = answerTo(10);
 
@@ -44,12 +49,13 @@
 
   @Test
   void shouldSendAllDiffsAtOnceWhenThePeerMissedSeveralVersions() {
-    reader.applyPublished(published(10, "abdali"), 10);
+    reader.applyPublished(published(10, "abdali"), readThrough(10));
     peer.receive(answerTo(-1));
     IntStream.range(0, 5)
         .forEach(
             index ->
-                reader.applyPublished(published(20 + 3 * index, "abdali", "zone-" + index), 40));
+                reader.applyPublished(
+                    published(20 + 3 * index, "abdali", "zone-" + index), readThrough(40)));
 
     assertThat(peer.receive(answerTo(10)).get()).isEqualTo(5);
 
@@ -59,9 +65,9 @@
 
   @Test
   void shouldSendASnapshotWhenThePeerHoldsAnUnknownVersion() {
-    reader.applyPublished(published(10, "abdali"), 10);
-    reader.applyPublished(published(20, "abdali", "marka"), 20);
-    peer.applyPublished(published(12, "weiz"), 12);
+    reader.applyPublished(published(10, "abdali"), readThrough(10));
+    reader.applyPublished(published(20, "abdali", "marka"), readThrough(20));
+    peer.applyPublished(published(12, "weiz"), readThrough(12));
 
     ConfigurationAnswer answer = answerTo(12);
 
@@ -72,10 +78,10 @@
 
   @Test
   void shouldIgnoreChangesFromPeersWhenThePlatformWasReadPastThem() {
-    reader.applyPublished(published(10, "abdali"), 10);
+    reader.applyPublished(published(10, "abdali"), readThrough(10));
     peer.receive(answerTo(-1));
-    reader.applyPublished(published(15, "marka"), 15);
-    peer.recordReadThrough(16);
+    reader.applyPublished(published(15, "marka"), readThrough(15));
+    peer.recordReadThrough(readThrough(16));
 
     assertThat(peer.receive(answerTo(10)).get()).isZero();
 
@@ -84,9 +90,9 @@
 
   @Test
   void shouldNeverGoBackWhenAnOlderVersionIsPublished() {
-    reader.applyPublished(published(10, "abdali"), 10);
+    reader.applyPublished(published(10, "abdali"), readThrough(10));
 
-    assertThat(reader.applyPublished(published(9, "marka"), 10)).isFalse();
+    assertThat(reader.applyPublished(published(9, "marka"), readThrough(10))).isFalse();
 
     assertThat(reader.current().zones())
         .extracting(AvailabilityZone::name)
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/ConfigurationStormTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/ConfigurationStormTest.java
@@ -15,6 +15,7 @@
 import org.parsleycart.model.AvailabilityZone;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.ConfigurationChange;
+import org.parsleycart.model.Recency;
 import org.parsleycart.model.Resource;
 
 /**
@@ -50,7 +51,8 @@
 
   private void publish(int first, int last) {
     IntStream.rangeClosed(first, last)
-        .forEach(version -> watcher.applyPublished(configuration(version), version));
+        .forEach(
+            version -> watcher.applyPublished(configuration(version), new Recency(0, version)));
   }
 
   private Either<ConfigurationUpdateError, Integer> pull() {
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/PullPlannerTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/spreading/PullPlannerTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.parsleycart.decision.message.ConfigurationHead;
+import org.parsleycart.model.Recency;
 
 /** A daemon that reads the platform itself asks peers only for versions that its own reads lack. */
 class PullPlannerTest {
@@ -15,7 +16,8 @@
   private static final Duration OWN_READ_TIMEOUT = Duration.ofMillis(600);
   private final AtomicLong readThrough = new AtomicLong();
   private final PullPlanner planner =
-      new PullPlanner("self", new Random(1), readThrough::get, () -> OWN_READ_TIMEOUT);
+      new PullPlanner(
+          "self", new Random(1), () -> new Recency(0, readThrough.get()), () -> OWN_READ_TIMEOUT);
 
   private static ConfigurationHead head(long version) {
     return new ConfigurationHead(version, "d" + version);
--- a/parsleycart-link/src/main/java/org/parsleycart/link/GossipCodec.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/GossipCodec.java
@@ -7,6 +7,7 @@
 import org.parsleycart.decision.message.ConfigurationHead;
 import org.parsleycart.decision.message.Gossip;
 import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.model.Recency;
 import org.parsleycart.model.ResourceKind;
 import org.parsleycart.model.ResourceReference;
 import org.parsleycart.model.document.Document;
@@ -18,6 +19,7 @@
   private static final String RECORDS = "records";
   private static final String STATUSES = "statuses";
   private static final String URGENT = "urgent";
+  private static final String GENERATION = "generation";
   private static final String CONFIRMATION_AGE = "confirmedMillisecondsAgo";
   private static final long MAXIMUM_AGE_MILLISECONDS = Duration.ofDays(36500).toMillis();
   private static final List<String> FACT_KEYS =
@@ -54,11 +56,17 @@
 
   static void writeHead(ConfigurationHead head, Document.MappingBuilder builder) {
     builder.with("head", head.version()).with("digest", head.digest());
+    if (head.recency().generation() > 0) {
+      builder.with(GENERATION, head.recency().generation());
+    }
   }
 
   static ConfigurationHead readHead(MappingReader reader) {
-    return new ConfigurationHead(
-        reader.requiredNumber("head", 0, Long.MAX_VALUE), reader.requiredText("digest"));
+    Recency recency =
+        new Recency(
+            reader.number(GENERATION, 0, Long.MAX_VALUE).orElse(0L),
+            reader.requiredNumber("head", 0, Long.MAX_VALUE));
+    return new ConfigurationHead(recency, reader.requiredText("digest"));
   }
 
   // -- records
--- a/parsleycart-link/src/test/java/org/parsleycart/link/EncodedAnswersTest.java
+++ b/parsleycart-link/src/test/java/org/parsleycart/link/EncodedAnswersTest.java
@@ -18,6 +18,7 @@
 import org.parsleycart.decision.spreading.ConfigurationLog;
 import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
+import org.parsleycart.model.Recency;
 import org.parsleycart.model.RequestKind;
 import org.parsleycart.model.Resource;
 import org.parsleycart.model.Route;
@@ -40,8 +41,8 @@
   private final ConfigurationLog log = ConfigurationLog.empty();
 
   EncodedAnswersTest() {
-    log.applyPublished(configuration(1, 1), 1);
-    log.applyPublished(configuration(2, ROUTES), 2);
+    log.applyPublished(configuration(1, 1), new Recency(0, 1));
+    log.applyPublished(configuration(2, ROUTES), new Recency(0, 2));
   }
 
   private static Configuration configuration(long version, int routes) {
@@ -83,7 +84,7 @@
     assertThat(answer.length).isLessThan(MAXIMUM_BYTES);
     ConfigurationAnswer decoded = (ConfigurationAnswer) codec.decode(answer).get();
     ConfigurationLog receiver = ConfigurationLog.empty();
-    receiver.applyPublished(configuration(1, 1), 1);
+    receiver.applyPublished(configuration(1, 1), new Recency(0, 1));
     assertThat(receiver.receive(decoded).get()).isEqualTo(1);
     assertThat(receiver.head()).isEqualTo(log.head());
   }
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Configuration.java
@@ -45,6 +45,7 @@
   private final DeadlineRange deadlines;
   private final CallerLimits callerLimits;
   private final KeyIndex keyIndex;
+  private final Publication publication;
 
   /**
    * An accepted change and the version that it produced.
@@ -74,6 +75,10 @@
             .findFirst()
             .orElseGet(CallerLimits::none);
     this.keyIndex = KeyIndex.of(section(ResourceKind.ORGANISATION, Organisation.class));
+    this.publication =
+        section(ResourceKind.PUBLICATION, Publication.class).stream()
+            .findFirst()
+            .orElseGet(Publication::none);
   }
 
   /** Returns version 0, which contains no resources. */
@@ -193,6 +198,16 @@
     return version;
   }
 
+  /** Returns how recent this configuration is, which decides whether it replaces another one. */
+  public Recency recency() {
+    return new Recency(publication.generation(), version);
+  }
+
+  /** Returns the state of the rows from which this configuration was published. */
+  public Publication publication() {
+    return publication;
+  }
+
   /** Returns the version that the change produced, or empty if the change is not retained. */
   public Optional<Long> versionOf(String changeIdentifier) {
     return recentChanges.stream()
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Resource.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Resource.java
@@ -9,6 +9,7 @@
         AvailabilityZone,
         Contract,
         Organisation,
+        Publication,
         Rollout,
         Route,
         Service,
--- a/parsleycart-model/src/main/java/org/parsleycart/model/ResourceKind.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/ResourceKind.java
@@ -56,6 +56,12 @@
     Resource read(MappingReader reader) {
       return Organisation.from(reader);
     }
+  },
+  PUBLICATION("publications") {
+    @Override
+    Resource read(MappingReader reader) {
+      return Publication.from(reader);
+    }
   };
 
   private final String section;
--- a/parsleycart-model/src/main/java/org/parsleycart/model/Rollout.java
+++ b/parsleycart-model/src/main/java/org/parsleycart/model/Rollout.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.parsleycart.model.document.Document;
@@ -34,6 +35,10 @@
 
   private static final Duration DEFAULT_COMPLETE_WITHIN = Duration.ofMinutes(10);
 
+  /** The order in which an active rollout progresses. */
+  private static final Comparator<Rollout> PROGRESS =
+      Comparator.comparing(Rollout::phase).thenComparing(Rollout::sharePerMille);
+
   // -- construction
 
   public Rollout {
@@ -84,6 +89,20 @@
 
   // -- queries
 
+  /**
+   * Returns whether this is a later state of the same move than the other one. The progress of a
+   * move never goes back: a phase that is not active is final, and the share only grows.
+   */
+  public boolean isFurtherThan(Rollout other) {
+    boolean isSameMove =
+        name.equals(other.name)
+            && version.equals(other.version)
+            && completeWithin.equals(other.completeWithin);
+    return isSameMove
+        && other.phase.isActive()
+        && (!phase.isActive() || PROGRESS.compare(this, other) > 0);
+  }
+
   /** Returns the service whose traffic this rollout moves, or empty if none matches. */
   public Optional<Service> target(Configuration configuration) {
     return configuration.services().stream()
--- a/parsleycart-store/src/main/java/org/parsleycart/store/ConfigurationAuthority.java
+++ b/parsleycart-store/src/main/java/org/parsleycart/store/ConfigurationAuthority.java
@@ -25,6 +25,15 @@
    */
   Either<AcceptanceError, Long> accept(ConfigurationChange change, Optional<Long> basedOn);
 
+  /**
+   * Returns how often the platform was restored from a copy, as far as its responses and the
+   * configuration in force show; 0 if it does not state it. Rows that were written in an earlier
+   * era may be lost.
+   */
+  default long platformEra() {
+    return 0;
+  }
+
   /**
    * Returns whether {@link #catchUp} waits for new versions, so that it is called again
    * immediately.
