Write departures and rendezvous addresses again when the store has lost them

Callers would have seen calls sent to an upstream after its daemon had acknowledged that it leaves (DRAIN), when that daemon restarts after the store came back from a copy that lacks the departure.

Cause: DepartureRegister took a row that it had once written for durable, and a daemon published its address for newcomers once.

Evidence: DepartureAfterRestartTest.shouldIgnoreLateHeartbeatWhenStoreHasLostTheDeparture times out on the old code with the new stand-in: the row never comes back.

Change: a daemon learns of a restore from the store's answers or from the era of the configuration in force, which gossip spreads. It then reads its row and writes what is missing; a daemon that had published its address does so again.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -172,7 +172,12 @@
       LocalUpstreams upstreams,
       MonotonicClock clock) {
     return new DepartureRegister(
-        control.table(), settings.identifier(), upstreams, clock, state.workers());
+        control.table(),
+        settings.identifier(),
+        upstreams,
+        control.authority()::platformEra,
+        clock,
+        state.workers());
   }
 
   private static RolloutWorker rolloutWorker(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DepartureRegister.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/DepartureRegister.java
@@ -11,12 +11,14 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
 import org.parsleycart.daemon.call.DepartureStore;
 import org.parsleycart.daemon.call.LocalUpstreams;
 import org.parsleycart.daemon.state.WorkerHealth;
 import org.parsleycart.decision.membership.DepartedProcess;
 import org.parsleycart.decision.membership.DepartedUpstreams;
 import org.parsleycart.link.BoundedQueue;
+import org.parsleycart.store.ConfigurationAuthority;
 import org.parsleycart.store.PlatformError;
 import org.parsleycart.store.Row;
 import org.parsleycart.store.TransactionalTable;
@@ -40,7 +42,7 @@
 
   private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
   private static final int MAXIMUM_PAUSE_DOUBLINGS = 2;
-  private static final long QUEUE_WAIT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+  private static final long QUEUE_WAIT_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
   /** No more departures wait than the row can hold. */
   private static final int QUEUE_CAPACITY = DepartedUpstreams.MAXIMUM_REMEMBERED;
@@ -50,6 +52,7 @@
   private final TransactionalTable table;
   private final String key;
   private final LocalUpstreams upstreams;
+  private final LongSupplier platformEra;
   private final InstantSource clock;
   private final BoundedQueue<Request> requests = new BoundedQueue<>(QUEUE_CAPACITY);
   private final WorkerLoop loop;
@@ -60,6 +63,11 @@
   private Optional<Long> revision = Optional.empty();
 
   private DepartedUpstreams stored = new DepartedUpstreams();
+
+  /** What was read or stored in any era; a restored platform may have lost some of it. */
+  private final DepartedUpstreams confirmed = new DepartedUpstreams();
+
+  private long confirmedInEra;
   private int failures;
   private boolean isRestored;
   private boolean hasEndedWait;
@@ -73,16 +81,20 @@
    * Creates a register; {@link #start} starts its thread.
    *
    * @param daemon the identifier of this daemon, the same after a restart
+   * @param platformEra supplies how often the platform was restored, as {@link
+   *     ConfigurationAuthority#platformEra}
    */
   public DepartureRegister(
       TransactionalTable table,
       String daemon,
       LocalUpstreams upstreams,
+      LongSupplier platformEra,
       InstantSource clock,
       WorkerHealth health) {
     this.table = requireNonNull(table, "table is null");
     this.key = KEY_PREFIX + requireNonNull(daemon, "daemon is null");
     this.upstreams = requireNonNull(upstreams, "upstreams is null");
+    this.platformEra = requireNonNull(platformEra, "platformEra is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.restoreDeadline = clock.instant().plus(RESTORE_WAIT);
     this.loop = new WorkerLoop("departures", this::step, health);
@@ -114,7 +126,8 @@
 
   private void step() {
     takeRequests(isRestored && pending.isEmpty() ? QUEUE_WAIT_NANOSECONDS : 0);
-    Either<PlatformError, Boolean> result = restore().flatMap(restored -> storePending());
+    Either<PlatformError, Boolean> result =
+        restore().flatMap(restored -> storeLostAgain()).flatMap(held -> storePending());
     if (result.isLeft()) {
       Logger.info(
           "departures of {} upstreams not stored yet: {}",
@@ -145,10 +158,13 @@
     if (isRestored) {
       return Either.right(true);
     }
+    long eraBefore = platformEra.getAsLong();
     return readRow()
         .peek(
             read -> {
               isRestored = true;
+              confirmedInEra = eraBefore == 0 ? platformEra.getAsLong() : eraBefore;
+              stored.all().forEach(confirmed::record);
               upstreams.restore(stored.all());
             });
   }
@@ -177,8 +193,31 @@
 
   // -- writing
 
+  /** Stores the departures again that the platform lost when it was restored from a copy. */
+  private Either<PlatformError, Boolean> storeLostAgain() {
+    long era = platformEra.getAsLong();
+    if (era == confirmedInEra) {
+      return Either.right(true);
+    }
+    return readRow()
+        .flatMap(
+            read -> {
+              List<DepartedProcess> lost =
+                  confirmed.all().stream().filter(departed -> !stored.hasLeft(departed)).toList();
+              lost.forEach(stored::record);
+              return lost.isEmpty() ? Either.<PlatformError, Boolean>right(true) : writeRow();
+            })
+        .peek(
+            written -> {
+              if (written) {
+                confirmedInEra = era;
+              }
+            });
+  }
+
   private Either<PlatformError, Boolean> storePending() {
     if (pending.stream().map(Request::departed).allMatch(stored::hasLeft)) {
+      pending.stream().map(Request::departed).forEach(confirmed::record);
       pending.stream().map(Request::listener).forEach(Runnable::run);
       pending.clear();
       return Either.right(true);
@@ -187,9 +226,13 @@
         .flatMap(read -> writePending());
   }
 
-  /** Writes the row; returns false if it had changed, so that it must be read again. */
   private Either<PlatformError, Boolean> writePending() {
     pending.stream().map(Request::departed).forEach(stored::record);
+    return writeRow();
+  }
+
+  /** Writes the row; returns false if it had changed, so that it must be read again. */
+  private Either<PlatformError, Boolean> writeRow() {
     byte[] value = DepartureRow.format(stored.all());
     long expected = revision.orElse(ABSENT);
     Either<PlatformError, Boolean> written =
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerDiscovery.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerDiscovery.java
@@ -56,6 +56,19 @@
     return peers;
   }
 
+  /**
+   * Publishes the address of this daemon again if it was published, because the platform may have
+   * lost the row. Returns whether nothing is left to do.
+   */
+  public boolean publishAgain(MemberRecord self) {
+    requireNonNull(self, "self is null");
+    return !rowClaimed
+        || table
+            .scan(ROW_PREFIX, "", MAXIMUM_ROWS)
+            .map(rows -> claimRow(self, rows))
+            .getOrElse(false);
+  }
+
   /**
    * Writes the address of this daemon to a free row of its zone, or replaces a random row of the
    * zone, which may be stale. Returns whether the address is published.
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformWorker.java
@@ -54,6 +54,7 @@
   private Instant nextSynchronization;
   private Instant nextJoin;
   private Instant nextFactPersistence;
+  private long publishedInEra;
   private final Instant peerWaitDeadline;
 
   // -- construction
@@ -108,6 +109,7 @@
     if (!authority.isLongPolling() && pollSchedule.isDue(now)) {
       recordRead(authority.catchUp(Duration.ZERO));
     }
+    publishAgainWhenRestored();
     updateReadiness();
     updateIsolation(clock.instant());
     if (!now.isBefore(nextFactPersistence)) {
@@ -116,6 +118,17 @@
     }
   }
 
+  private void publishAgainWhenRestored() {
+    long era = authority.platformEra();
+    if (era == publishedInEra) {
+      return;
+    }
+    boolean isFirst = publishedInEra == 0;
+    if (isFirst || peerDiscovery.publishAgain(gossip.view().self())) {
+      publishedInEra = era;
+    }
+  }
+
   private void joinWhenDue(Instant now) {
     if (now.isBefore(nextJoin)) {
       return;
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/DepartureAfterRestartTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/DepartureAfterRestartTest.java
@@ -11,6 +11,7 @@
 import org.parsleycart.daemon.PlatformMesh;
 import org.parsleycart.daemon.PlatformMesh.Heartbeat;
 import org.parsleycart.platform.standin.StoreFault;
+import org.parsleycart.platform.standin.StoreStandin;
 
 /**
  * Guards against an upstream that has reported that it leaves and is used again after a restart of
@@ -72,6 +73,22 @@
     assertThat(mesh.hasUpstream(mesh.member(1), "one")).isFalse();
   }
 
+  /** Guards against a departure that was acknowledged and that a restored store has lost. */
+  @Test
+  void shouldIgnoreLateHeartbeatWhenStoreHasLostTheDeparture() throws IOException {
+    StoreStandin.Copy copy = mesh.store().copy();
+    assertThat(mesh.deregister(mesh.member(0), "i").status()).isEqualTo(200);
+    String row = "departed/" + mesh.member(0).settings().identifier();
+    mesh.store().restore(copy);
+    mesh.await(() -> mesh.store().value("parsleycart", row).isPresent());
+    restart();
+
+    mesh.beat(mesh.member(0), LATE);
+
+    awaitMarker();
+    assertThat(mesh.hasUpstream(mesh.member(1), "one")).isFalse();
+  }
+
   @Test
   void shouldUseLaterProcessOfTheSameUpstreamWhenDaemonHasRestarted() throws IOException {
     assertThat(mesh.deregister(mesh.member(0), "i").status()).isEqualTo(200);
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/control/DepartureRegisterTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/control/DepartureRegisterTest.java
@@ -25,6 +25,7 @@
             Platform.inMemory().table(),
             "127.0.0.1:1",
             new LocalUpstreams(new AdmissionSettings(2, 8, true), clock),
+            () -> 0,
             clock,
             new WorkerHealth());
     CountDownLatch acknowledged = new CountDownLatch(DEPARTURES);
