Keep the lease of the usage duty with its holder when the store was restored

Cause: a candidate believed the lease row as read. After a restore from a copy the row may show the holder before the present one, that it gave the lease back, or nothing. A candidate could then take the lease at once while the present holder still acts, give out a fencing token again, and report windows that had been accepted; and the holder gave way to a row that was older than its own.

Change: a process remembers the newest token and mark that it saw in any era. After a restore the holder writes its row again, and others wait one length, in which a lost renewal expires. Tokens and marks go on from the newest known.

Evidence: the three new cases of LeaseStateTest need the new event `restored`, so they cannot run on the old code.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/UsageComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/UsageComponents.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import org.parsleycart.daemon.control.LocalUsage;
+import org.parsleycart.daemon.control.UsageRows;
 import org.parsleycart.daemon.control.UsageStatistics;
 import org.parsleycart.daemon.control.UsageWorker;
 import org.parsleycart.daemon.settings.DaemonSettings;
@@ -53,7 +54,7 @@
               return UsageWorker.create(
                   localUsage,
                   () -> Optional.of(control.gossip().view()).filter(view -> state.isServing()),
-                  control.table(),
+                  new UsageRows(control.table(), control.authority()::platformEra),
                   control.frameClient(),
                   new UsageReporter(
                       HttpClient.startResettingOnClose(1), duty.address(), duty.holder()),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageRows.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageRows.java
@@ -7,12 +7,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.parsleycart.decision.usage.DaemonUsage;
 import org.parsleycart.decision.usage.DutyOperation.WriteLease;
 import org.parsleycart.decision.usage.LeaseRecord;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.JsonDocuments;
 import org.parsleycart.model.document.MappingReader;
+import org.parsleycart.store.ConfigurationAuthority;
 import org.parsleycart.store.PlatformError;
 import org.parsleycart.store.Row;
 import org.parsleycart.store.TransactionalTable;
@@ -22,38 +24,59 @@
  * The rows of the usage duty in the table: the lease, a report for each window that is not yet
  * done, and the counts of daemons that have stopped.
  */
-final class UsageRows {
+public final class UsageRows {
   private static final String LEASE_KEY = "usage/lease";
   private static final String REPORT_PREFIX = "usage/report/";
   private static final String DEPARTED_PREFIX = "usage/departed/";
   private static final int MAXIMUM_ROWS = 200;
 
   private final TransactionalTable table;
+  private final LongSupplier platformEra;
+  private long leaseReadInEra;
 
-  /** The lease row; revision 0 if there is none. */
-  record LeaseRow(Optional<LeaseRecord> content, long revision) {}
+  /**
+   * The lease row; revision 0 if there is none.
+   *
+   * @param isPlatformRestored whether the platform was restored since the row was read before
+   */
+  record LeaseRow(Optional<LeaseRecord> content, long revision, boolean isPlatformRestored) {}
 
   /** A row with the counts of a daemon that has stopped. */
   record DepartedUsage(Row row, DaemonUsage usage) {}
 
   // -- construction
 
-  UsageRows(TransactionalTable table) {
+  /**
+   * Creates the rows in a table.
+   *
+   * @param platformEra supplies how often the platform was restored, as {@link
+   *     ConfigurationAuthority#platformEra}
+   */
+  public UsageRows(TransactionalTable table, LongSupplier platformEra) {
     this.table = requireNonNull(table, "table is null");
+    this.platformEra = requireNonNull(platformEra, "platformEra is null");
   }
 
   // -- lease
 
   /** Reads the lease; a row that cannot be read is an error, and nobody takes the lease. */
   Either<PlatformError, LeaseRow> readLease() {
-    return table
-        .read(LEASE_KEY)
-        .flatMap(
-            row ->
-                row.isEmpty()
-                    ? Either.right(new LeaseRow(Optional.empty(), 0))
-                    : parse(row.get(), LeaseRecord::read)
-                        .map(content -> new LeaseRow(Optional.of(content), row.get().revision())));
+    return table.read(LEASE_KEY).flatMap(this::parseLease);
+  }
+
+  private Either<PlatformError, LeaseRow> parseLease(Optional<Row> row) {
+    long era = platformEra.getAsLong();
+    boolean isPlatformRestored = leaseReadInEra > 0 && era > leaseReadInEra;
+    if (row.isEmpty()) {
+      leaseReadInEra = era;
+      return Either.right(new LeaseRow(Optional.empty(), 0, isPlatformRestored));
+    }
+    return parse(row.get(), LeaseRecord::read)
+        .map(
+            content -> {
+              leaseReadInEra = era;
+              return new LeaseRow(Optional.of(content), row.get().revision(), isPlatformRestored);
+            });
   }
 
   Either<PlatformError, Boolean> writeLease(WriteLease write) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/UsageWorker.java
@@ -25,7 +25,6 @@
 import org.parsleycart.link.FrameClient;
 import org.parsleycart.platform.UsageReporter;
 import org.parsleycart.store.PlatformError;
-import org.parsleycart.store.TransactionalTable;
 import org.tinylog.Logger;
 
 /**
@@ -84,7 +83,7 @@
   public static UsageWorker create(
       LocalUsage localUsage,
       Supplier<Optional<MembershipView>> members,
-      TransactionalTable table,
+      UsageRows rows,
       FrameClient frameClient,
       UsageReporter reporter,
       DutyHolder duty,
@@ -98,7 +97,7 @@
     return new UsageWorker(
         localUsage,
         members,
-        new UsageRows(table),
+        rows,
         reporter,
         gathering,
         duty,
@@ -259,7 +258,9 @@
     duty =
         read.fold(
             error -> duty.leaseFailed(now),
-            row -> duty.observedLease(row.content(), row.revision(), now));
+            row ->
+                (row.isPlatformRestored() ? duty.platformRestored(now) : duty)
+                    .observedLease(row.content(), row.revision(), now));
     return read.isRight();
   }
 
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/control/UsageWorkerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/control/UsageWorkerTest.java
@@ -201,7 +201,7 @@
         () ->
             Optional.of(
                 new MembershipView(member(identifier), List.of(member(SELF), member(peer)))),
-        rows,
+        new UsageRows(rows, () -> 0),
         new FrameClient(codec, new ControlTrafficCounters()),
         new UsageReporter(client, platform.address(), name),
         new DutyHolder(
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/usage/DutyHolder.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/usage/DutyHolder.java
@@ -75,6 +75,11 @@
     return with(lease.observe(content, revision, receivedAt));
   }
 
+  /** Records that the platform was restored, as {@link LeaseState#restored}. */
+  public DutyHolder platformRestored(ClockReading now) {
+    return with(lease.restored(now));
+  }
+
   /** Applies a write of the lease row that was answered. */
   public DutyHolder wroteLease(
       WriteLease write, boolean isWritten, ClockReading sentAt, ClockReading now) {
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/usage/LeaseRecord.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/usage/LeaseRecord.java
@@ -45,6 +45,17 @@
     return new LeaseRecord(newHolder, newProcess, token + 1, false, reportedThrough);
   }
 
+  /** Returns the record with the larger token and the larger mark of the two. */
+  LeaseRecord newest(LeaseRecord other) {
+    LeaseRecord later = other.token > token ? other : this;
+    return new LeaseRecord(
+        later.holder,
+        later.process,
+        later.token,
+        later.isReleased,
+        Math.max(reportedThrough, other.reportedThrough));
+  }
+
   /** Returns the record with which the holder renews the lease. */
   LeaseRecord renewed(long newReportedThrough) {
     return new LeaseRecord(
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/usage/LeaseState.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/usage/LeaseState.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * What one process knows of the lease. Immutable.
@@ -22,6 +23,9 @@
  * @param held the lease if this process has it, by its last write
  * @param lastHeldAt when this process may have held the lease last; its start if never, since an
  *     earlier process of the daemon may have held it until then
+ * @param newest the content with the largest token and mark that was read or written, which a
+ *     restored platform may have lost
+ * @param restoredAt when the platform was known to have been restored from a copy, empty if never
  */
 public record LeaseState(
     String holder,
@@ -31,7 +35,9 @@
     boolean isFresh,
     long readAgainAt,
     Optional<HeldLease> held,
-    ClockReading lastHeldAt) {
+    ClockReading lastHeldAt,
+    Optional<LeaseRecord> newest,
+    Optional<ClockReading> restoredAt) {
   /**
    * The holder stops earlier than others may take the lease. The rest covers clocks that run at
    * different speeds and the way of a last call to the platform.
@@ -72,13 +78,24 @@
     requireNonNull(seen, "seen is null");
     requireNonNull(held, "held is null");
     requireNonNull(lastHeldAt, "lastHeldAt is null");
+    requireNonNull(newest, "newest is null");
+    requireNonNull(restoredAt, "restoredAt is null");
   }
 
   /** Returns the state of a process that starts now and knows nothing of the row. */
   public static LeaseState initial(
       String holder, String process, Duration length, ClockReading now) {
     return new LeaseState(
-        holder, process, length, Optional.empty(), false, now.boot(), Optional.empty(), now);
+        holder,
+        process,
+        length,
+        Optional.empty(),
+        false,
+        now.boot(),
+        Optional.empty(),
+        now,
+        Optional.empty(),
+        Optional.empty());
   }
 
   private LeaseState with(
@@ -87,8 +104,22 @@
       long newReadAgainAt,
       Optional<HeldLease> newHeld) {
     ClockReading last = newHeld.map(HeldLease::since).orElse(lastHeldAt);
+    Optional<LeaseRecord> newNewest =
+        Stream.of(
+                newest, newSeen.flatMap(SeenLease::content), newHeld.map(lease -> lease.content()))
+            .flatMap(Optional::stream)
+            .reduce(LeaseRecord::newest);
     return new LeaseState(
-        holder, process, length, newSeen, newIsFresh, newReadAgainAt, newHeld, last);
+        holder,
+        process,
+        length,
+        newSeen,
+        newIsFresh,
+        newReadAgainAt,
+        newHeld,
+        last,
+        newNewest,
+        restoredAt);
   }
 
   // -- queries
@@ -132,8 +163,17 @@
   }
 
   private Optional<LeaseRecord> write(SeenLease row, ClockReading now, long reportedThrough) {
+    if (isHeld(now) && isLost(row.content())) {
+      return held.map(lease -> lease.content().renewed(reportedThrough));
+    }
+    if (!isHeld(now) && mayBeHeldUnseen(now)) {
+      return Optional.empty();
+    }
     if (row.content().isEmpty()) {
-      return Optional.of(new LeaseRecord(holder, process, 1, false, reportedThrough));
+      return Optional.of(
+          newest
+              .map(lost -> lost.takenOverBy(holder, process))
+              .orElseGet(() -> new LeaseRecord(holder, process, 1, false, reportedThrough)));
     }
     LeaseRecord content = row.content().get();
     if (content.isOf(holder, process)) {
@@ -142,10 +182,25 @@
           content.renewed(held.isPresent() ? reportedThrough : content.reportedThrough()));
     }
     return isFree(row, content, now)
-        ? Optional.of(content.takenOverBy(holder, process))
+        ? Optional.of(newest.map(content::newest).orElse(content).takenOverBy(holder, process))
         : Optional.empty();
   }
 
+  /** Returns whether a restored platform has lost the row that this process wrote as the holder. */
+  private boolean isLost(Optional<LeaseRecord> content) {
+    return restoredAt.isPresent()
+        && content
+            .filter(record -> record.isOf(holder, process) || record.token() > token())
+            .isEmpty();
+  }
+
+  /**
+   * Returns whether another process may hold the lease by a row that a restored platform has lost.
+   */
+  private boolean mayBeHeldUnseen(ClockReading now) {
+    return restoredAt.filter(at -> at.certainlyPassed(now).compareTo(length) < 0).isPresent();
+  }
+
   private boolean isFree(SeenLease row, LeaseRecord content, ClockReading now) {
     boolean wasHolder =
         !content.holder().equals(holder)
@@ -170,7 +225,8 @@
     SeenLease row =
         seen.filter(earlier -> earlier.revision() == revision)
             .orElseGet(() -> new SeenLease(content, revision, receivedAt));
-    boolean isOwn = content.filter(record -> record.isOf(holder, process)).isPresent();
+    boolean isOwn =
+        content.filter(record -> record.isOf(holder, process)).isPresent() || isLost(content);
     LeaseState observed =
         with(Optional.of(row), true, nextRead(receivedAt), isOwn ? held : Optional.empty());
     return observed.write(row, receivedAt, 0).isPresent()
@@ -178,6 +234,24 @@
         : observed.with(observed.seen, false, observed.readAgainAt, observed.held);
   }
 
+  /**
+   * Records that the platform was restored from a copy. The row may show an earlier holder: the
+   * holder writes it again, and other processes wait until a lost renewal has expired.
+   */
+  public LeaseState restored(ClockReading now) {
+    return new LeaseState(
+        holder,
+        process,
+        length,
+        Optional.empty(),
+        false,
+        now.boot(),
+        held,
+        lastHeldAt,
+        newest,
+        Optional.of(now));
+  }
+
   /** Applies a write that succeeded; {@code sentAt} are the clocks before it was sent. */
   public LeaseState confirm(LeaseRecord written, ClockReading sentAt) {
     if (written.isReleased()) {
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/usage/LeaseStateTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/usage/LeaseStateTest.java
@@ -80,6 +80,53 @@
         .isPresent();
   }
 
+  private static LeaseState takenOverFromOther() {
+    LeaseState read = initial(-100_000).observe(Optional.of(OF_OTHER), 3, at(0));
+    LeaseState free = read.observe(Optional.of(OF_OTHER), 3, at(3000));
+    return free.confirm(((WriteLease) free.next(at(3000), 0).orElseThrow()).content(), at(3000));
+  }
+
+  /** Guards against a holder that gives way to an earlier one, whose row a restore brought back. */
+  @Test
+  void shouldWriteLeaseAgainWhenRestoredPlatformShowsAnEarlierHolder() {
+    LeaseState restored =
+        takenOverFromOther().restored(at(3500)).observe(Optional.of(OF_OTHER), 2, at(3500));
+
+    assertThat(restored.isHeld(at(3500))).isTrue();
+    assertThat(restored.next(at(3500), 41))
+        .contains(new WriteLease(new LeaseRecord("a", "a1", 8, false, 41), 2));
+  }
+
+  /** Guards against two holders, because a restore brought back the row before the second one. */
+  @Test
+  void shouldWaitForALostRenewalToExpireWhenPlatformWasRestored() {
+    LeaseState watching =
+        initial(-100_000).observe(Optional.of(OF_OTHER), 9, at(0)).restored(at(1000));
+    LeaseState released = watching.observe(Optional.of(OF_OTHER.released(40)), 3, at(1000));
+    LeaseState absent = watching.observe(Optional.empty(), 0, at(1000));
+
+    assertThat(released.next(at(1000), 0)).isEmpty();
+    assertThat(absent.next(at(1000), 0)).isEmpty();
+    assertThat(absent.observe(Optional.empty(), 0, at(4000)).next(at(4000), 0))
+        .contains(new WriteLease(new LeaseRecord("a", "a1", 8, false, 40), 0));
+  }
+
+  /** Guards against a fencing token that is given out twice, and a window reported twice. */
+  @Test
+  void shouldContinueTokensAndMarkWhenRestoredPlatformLostThem() {
+    LeaseRecord later = new LeaseRecord("c", "c1", 9, false, 60);
+    LeaseState restored =
+        initial(-100_000).observe(Optional.of(later), 9, at(0)).restored(at(1000));
+
+    LeaseState waited =
+        restored
+            .observe(Optional.of(OF_OTHER), 3, at(1000))
+            .observe(Optional.of(OF_OTHER), 3, at(4000));
+
+    assertThat(waited.next(at(4000), 0))
+        .contains(new WriteLease(new LeaseRecord("a", "a1", 10, false, 60), 3));
+  }
+
   /** Guards against calls that follow each other without a pause while the platform fails. */
   @Test
   void shouldPauseLongerAfterEachFailureAndResignAfterSome() {
