Quarantine requests under which three upstreams have ended

Cause: no daemon remembered what ran at an upstream when it ended. Each repeat was a new request. Class of fault: a count that is kept for one attempt only, where the harm adds up over all of them and over all machines.

Change: the daemon beside an upstream notices that its process has ended (a broken call, then no listener), and tells all others which requests it ran, by their fingerprints, with gossip and with the exchange of member records. A request that ran at three ended processes and that none has answered is refused with 503, not run: at the entry before each attempt, beside the upstream on arrival, and when it leaves the queue. An answer clears a request, and what upstreams have answered before is not reported, so that requests that only ran beside the cause, or that many callers send alike, are served.

Its last form waits for the sound request to be served, since an upstream that has ended is refused for some seconds in any case.

--- a/parsleycart-bench/src/main/java/org/parsleycart/bench/SpreadTrial.java
+++ b/parsleycart-bench/src/main/java/org/parsleycart/bench/SpreadTrial.java
@@ -21,6 +21,7 @@
 import org.parsleycart.decision.message.ControlMessage.ConfigurationRequest;
 import org.parsleycart.decision.message.OutgoingMessage;
 import org.parsleycart.decision.message.VersionedChange;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.decision.spreading.PullPlanner;
 import org.parsleycart.decision.spreading.UrgentFacts;
@@ -135,7 +136,8 @@
             () -> headOf(nodeHolder[0] == null ? 0 : nodeHolder[0].version),
             new Freshness(),
             new UrgentFacts(),
-            pullPlanner);
+            pullPlanner,
+            new RequestQuarantine(clock, quarantined -> {}));
     nodeHolder[0] = new Node(self.identifier(), protocol, pullPlanner);
     nodes.add(nodeHolder[0]);
     byAddress.put(self.identifier(), nodeHolder[0]);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ControlComponents.java
@@ -162,7 +162,8 @@
             state.log()::head,
             freshness,
             state.facts(),
-            pullPlanner);
+            pullPlanner,
+            state.quarantine());
     return new GossipWorker(protocol, pullPlanner, datagrams, state, loads, clock, peerSync);
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -12,6 +12,7 @@
 import org.parsleycart.daemon.call.CallerAuthentication;
 import org.parsleycart.daemon.call.CallsInProgress;
 import org.parsleycart.daemon.call.ConnectionPools;
+import org.parsleycart.daemon.call.CrashDetector;
 import org.parsleycart.daemon.call.EntryDependencies;
 import org.parsleycart.daemon.call.EntryHandler;
 import org.parsleycart.daemon.call.Forwarder;
@@ -42,6 +43,7 @@
 import org.parsleycart.daemon.state.WorkerHealth;
 import org.parsleycart.decision.admission.AdmissionSettings;
 import org.parsleycart.decision.admission.IdempotencyKeyRegistry;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 import org.parsleycart.decision.routing.RetryBudget;
 import org.parsleycart.decision.routing.RetryBudgets;
 import org.parsleycart.decision.routing.RetryPolicy;
@@ -52,6 +54,7 @@
 import org.parsleycart.decision.usage.UsageRecorder;
 import org.parsleycart.link.PeerKeys;
 import org.parsleycart.link.dialect.Dialect;
+import org.tinylog.Logger;
 
 /**
  * The components of one daemon, each constructed with everything that it needs.
@@ -92,14 +95,7 @@
       DaemonSettings settings, MonotonicClock clock, ConnectionPools pools) throws IOException {
     Telemetry telemetry = Telemetry.create(settings.traces(), clock);
     PeerKeys peerKeys = PeerKeys.of(settings.peerKeys());
-    MeshState state =
-        new MeshState(
-            settings.zone(),
-            settings.labels(),
-            ConfigurationLog.empty(),
-            new UrgentFacts(),
-            new WorkerHealth());
-    state.setCallerService(settings.upstreamService());
+    MeshState state = meshState(settings, clock);
     UpstreamLoadTable loads = new UpstreamLoadTable();
     LocalUpstreams upstreams = new LocalUpstreams(admissionSettings(settings.limits()), clock);
     LocalEvidence localEvidence = new LocalEvidence(telemetry.callStatistics(), upstreams);
@@ -112,7 +108,15 @@
     CallSigner signer = new CallSigner(peerKeys);
     Dialect dialect = settings.dialect().create();
     AdmissionService admission =
-        admission(state, upstreams, forwarder, dialect, telemetry, localUsage.recorder(), clock);
+        admission(
+            state,
+            upstreams,
+            forwarder,
+            dialect,
+            telemetry,
+            localUsage.recorder(),
+            crashDetector(state, pools, control),
+            clock);
     EntryDependencies entryDependencies =
         entryDependencies(
             settings, dialect, state, control, loads, admission, forwarder, signer, telemetry);
@@ -147,6 +151,19 @@
             operators(state, telemetry, control, changeAcceptor, upstreams, entryDependencies)));
   }
 
+  private static MeshState meshState(DaemonSettings settings, MonotonicClock clock) {
+    MeshState state =
+        new MeshState(
+            settings.zone(),
+            settings.labels(),
+            ConfigurationLog.empty(),
+            new UrgentFacts(),
+            new RequestQuarantine(clock, DaemonComponents::logQuarantine),
+            new WorkerHealth());
+    state.setCallerService(settings.upstreamService());
+    return state;
+  }
+
   private static HttpHandler admissionHandler(
       DaemonSettings settings,
       MeshState state,
@@ -206,6 +223,7 @@
       Dialect dialect,
       Telemetry telemetry,
       UsageRecorder usage,
+      CrashDetector crashDetector,
       MonotonicClock clock) {
     return new AdmissionService(
         state,
@@ -218,9 +236,29 @@
         telemetry.callStatistics(),
         telemetry.callLog(),
         usage,
+        crashDetector,
         clock);
   }
 
+  private static CrashDetector crashDetector(
+      MeshState state, ConnectionPools pools, ControlComponents control) {
+    return new CrashDetector(
+        state.quarantine(),
+        pools,
+        evidence ->
+            control
+                .gossip()
+                .submit((protocol, pullPlanner) -> protocol.announceRequestEvidence(evidence)));
+  }
+
+  private static void logQuarantine(RequestQuarantine.Quarantined quarantined) {
+    Logger.warn(
+        "request {} quarantined: {} processes ended under it: {}",
+        Long.toHexString(quarantined.request()),
+        quarantined.processes().size(),
+        quarantined.processes());
+  }
+
   private static EntryDependencies entryDependencies(
       DaemonSettings settings,
       Dialect dialect,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMetrics.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonMetrics.java
@@ -10,6 +10,7 @@
 import org.parsleycart.daemon.control.PeerSyncWorker;
 import org.parsleycart.daemon.control.UsageStatistics;
 import org.parsleycart.daemon.state.MeshState;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 import org.parsleycart.link.ControlTrafficCounters;
 
 /** Registers the gauges and counters of the background workers and of the call path. */
@@ -31,6 +32,7 @@
     gauge(registry, "members", gossip, source -> source.view().size());
     gauge(registry, "upstreams.beside", upstreams, source -> source.announced().size());
     gauge(registry, "upstreams.rate.limited", upstreams, LocalUpstreams::rateLimitedCount);
+    gauge(registry, "requests.quarantined", state.quarantine(), RequestQuarantine::quarantined);
     gauge(registry, "calls.in.progress", callsInProgress, CallsInProgress::count);
     counter(registry, "control.sent.bytes", counters, ControlTrafficCounters::sentBytes);
     counter(registry, "control.sent.messages", counters, ControlTrafficCounters::sentMessages);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -45,6 +45,7 @@
   private final CallStatistics statistics;
   private final CallLog log;
   private final UsageRecorder usage;
+  private final CrashDetector crashDetector;
   private final InstantSource clock;
   private final HopPolicy entryHop;
   private final HopPolicy relayedHop;
@@ -57,6 +58,7 @@
    * @param idempotencyGuard rejects requests that repeat an idempotency key
    * @param dialect defines the header names and whether status 421 means that a call did not run
    * @param usage records the requests that upstreams begin
+   * @param crashDetector records how calls at upstreams end
    */
   public AdmissionService(
       MeshState state,
@@ -68,6 +70,7 @@
       CallStatistics statistics,
       CallLog log,
       UsageRecorder usage,
+      CrashDetector crashDetector,
       InstantSource clock) {
     this.state = requireNonNull(state, "state is null");
     this.upstreams = requireNonNull(upstreams, "upstreams is null");
@@ -78,6 +81,7 @@
     this.statistics = requireNonNull(statistics, "statistics is null");
     this.log = requireNonNull(log, "log is null");
     this.usage = requireNonNull(usage, "usage is null");
+    this.crashDetector = requireNonNull(crashDetector, "crashDetector is null");
     this.clock = requireNonNull(clock, "clock is null");
     this.entryHop = HopPolicy.fromEntryToUpstream(dialect);
     this.relayedHop = HopPolicy.fromDaemonToUpstream(dialect);
@@ -96,7 +100,7 @@
       CallerCredentials.remove(call.exchange().getRequestHeaders(), dialect.headers());
     }
     Optional<LocalUpstream> upstream = upstreams.find(call.upstream());
-    Optional<RefusalReason> refusal = refusal(upstream);
+    Optional<RefusalReason> refusal = refusal(upstream).or(() -> quarantine(call));
     if (refusal.isPresent()) {
       reportRefusal(call, upstream, refusal.get());
       call.listener().refused(refusal.get());
@@ -150,6 +154,12 @@
     return state.isIsolated() ? Optional.of(RefusalReason.ISOLATED) : Optional.empty();
   }
 
+  private Optional<RefusalReason> quarantine(LocalCall call) {
+    return RequestFingerprint.isQuarantined(state.quarantine(), call.exchange(), call.body())
+        ? Optional.of(RefusalReason.QUARANTINED)
+        : Optional.empty();
+  }
+
   private void applyDecision(LocalUpstream upstream, AdmissionDecision<LocalCall> decision) {
     decision
         .refusals()
@@ -180,6 +190,14 @@
   }
 
   private void start(LocalUpstream upstream, LocalCall call) {
+    // An upstream may have ended under the same request while this one waited.
+    Optional<RefusalReason> refusal = quarantine(call);
+    if (refusal.isPresent()) {
+      reportRefusal(call, Optional.of(upstream), refusal.get());
+      applyDecision(upstream, upstream.admission().releaseSlot());
+      call.listener().refused(refusal.get());
+      return;
+    }
     AdmittedCallListener listener = new AdmittedCallListener(upstream, call, clock.instant());
     if (call.cancellation().isCancelled()) {
       listener.ended(
@@ -300,11 +318,20 @@
         metrics.recordColdReturn();
       }
       recordStatistics(result, latency);
+      recordEnd(result);
       applyDecision(upstream, decision);
       call.listener().loadReported(upstream.load());
       call.listener().ended(result);
     }
 
+    private void recordEnd(AttemptResult result) {
+      if (result.fault() == Fault.BROKEN) {
+        crashDetector.recordBrokenCall(upstream, call);
+      } else if (result.fault() == Fault.NONE || result.fault() == Fault.FAILED_ANSWER) {
+        crashDetector.recordAnswer(upstream, call);
+      }
+    }
+
     private AdmissionDecision<LocalCall> release(AttemptResult result, Duration latency) {
       int status = result.status().orElse(0);
       boolean isShedByUpstream =
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionPool.java
@@ -8,6 +8,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -16,6 +17,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.parsleycart.link.Addresses;
@@ -111,6 +113,32 @@
     connect(address, target, callback);
   }
 
+  /**
+   * Opens a connection and closes it again.
+   *
+   * @param address the address as {@code host:port}
+   * @param result receives false if nothing accepts connections at the address; not called if that
+   *     cannot be told
+   */
+  void probe(String address, Consumer<Boolean> result) {
+    connector.connect(
+        address,
+        new ClientCallback<>() {
+          @Override
+          public void completed(BoundedConnection connection) {
+            IoUtils.safeClose(connection);
+            result.accept(true);
+          }
+
+          @Override
+          public void failed(IOException cause) {
+            if (cause instanceof ConnectException) {
+              result.accept(false);
+            }
+          }
+        });
+  }
+
   private void connect(String address, Target target, ClientCallback<BoundedConnection> callback) {
     connector.connect(
         address,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -17,6 +17,7 @@
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.admission.RetryAfterDelay;
 import org.parsleycart.decision.admission.UpstreamNotice;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 import org.parsleycart.decision.routing.Candidate;
 import org.parsleycart.decision.routing.UpstreamLoad;
 import org.xnio.IoUtils;
@@ -93,6 +94,11 @@
     if (isFinished) {
       return;
     }
+    if (RequestFingerprint.isQuarantined(dependencies.state().quarantine(), exchange, body)) {
+      lastRefusal = RefusalReason.QUARANTINED;
+      endWithoutResponse();
+      return;
+    }
     Optional<Candidate> candidate = upstreams.next();
     if (candidate.isEmpty()) {
       endWithoutResponse();
@@ -205,7 +211,10 @@
       dependencies.responses().sendUnknown(exchange, request.identifier(), hasDeadlinePassed);
     } else {
       dependencies.metrics().recordRefusal(lastRefusal);
-      Duration retryAfter = RetryAfterDelay.of(remaining(), dependencies.random().get());
+      Duration retryAfter =
+          lastRefusal == RefusalReason.QUARANTINED
+              ? RequestQuarantine.RETENTION
+              : RetryAfterDelay.of(remaining(), dependencies.random().get());
       dependencies.responses().sendNotRun(exchange, request.identifier(), lastRefusal, retryAfter);
     }
     finish(mayHaveRun ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_RUN);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlRequestHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/ControlRequestHandler.java
@@ -70,6 +70,7 @@
     return new MembershipAnswer(
         state.log().head(),
         BucketDigests.recordsInDifferingBuckets(gossip.view().records(), request),
-        state.facts().all());
+        state.facts().all(),
+        state.quarantine().all());
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PeerSyncWorker.java
@@ -219,6 +219,7 @@
           (protocol, pullPlanner) -> {
             protocol.mergeBulkRecords(membershipAnswer.records());
             protocol.mergeUrgentFacts(membershipAnswer.urgentFacts());
+            protocol.mergeRequestEvidence(membershipAnswer.requestEvidence());
             pullPlanner.recordHead(peer, membershipAnswer.head(), log.head());
             return List.of();
           });
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/state/MeshState.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/state/MeshState.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 import org.parsleycart.decision.routing.UpstreamDirectory;
 import org.parsleycart.decision.spreading.ConfigurationLog;
 import org.parsleycart.decision.spreading.UrgentFacts;
@@ -18,6 +19,7 @@
   private final Map<String, String> labels;
   private final ConfigurationLog log;
   private final UrgentFacts facts;
+  private final RequestQuarantine quarantine;
   private final WorkerHealth workers;
   private volatile UpstreamDirectory directory = UpstreamDirectory.empty();
   private volatile boolean ready;
@@ -31,6 +33,7 @@
   /**
    * Creates the state of a daemon that has just started and is not ready.
    *
+   * @param quarantine the requests that no upstream may run
    * @param workers the health of the workers, without which the daemon is not ready
    */
   public MeshState(
@@ -38,11 +41,13 @@
       Map<String, String> labels,
       ConfigurationLog log,
       UrgentFacts facts,
+      RequestQuarantine quarantine,
       WorkerHealth workers) {
     this.zone = requireNonNull(zone, "zone is null");
     this.labels = Map.copyOf(labels);
     this.log = requireNonNull(log, "log is null");
     this.facts = requireNonNull(facts, "facts is null");
+    this.quarantine = requireNonNull(quarantine, "quarantine is null");
     this.workers = requireNonNull(workers, "workers is null");
   }
 
@@ -70,6 +75,11 @@
     return facts;
   }
 
+  /** Returns the requests that no upstream may run. */
+  public RequestQuarantine quarantine() {
+    return quarantine;
+  }
+
   /** Returns the health of the background workers. */
   public WorkerHealth workers() {
     return workers;
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CrashingRequestTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CrashingRequestTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -16,7 +15,6 @@
 import org.parsleycart.link.http.HttpRequest;
 
 /** Guards against a request that ends upstream after upstream, at whichever daemon it arrives. */
-@Tag("known-red")
 class CrashingRequestTest {
   private static final int DAEMONS = 6;
   private static final int CRASHES = 3;
@@ -127,13 +125,17 @@
     }
   }
 
-  /** Returns whether a daemon refuses the deadly request, and revives what it ends otherwise. */
+  /**
+   * Returns whether a daemon refuses the deadly request while it serves others, and revives what it
+   * ends otherwise.
+   */
   private boolean isRefused(int daemon, Shape shape) {
     try {
       int endsBefore = ends();
+      boolean isServing = call(daemon, shape.sound()) == 200;
       boolean isRefused = call(daemon, shape.deadly()) == NOT_RUN && ends() == endsBefore;
       reviveAll();
-      return isRefused;
+      return isServing && isRefused;
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
@@ -151,8 +153,9 @@
     int endsWhenKnown = ends();
 
     for (int round = 0; round < ROUNDS * DAEMONS; round++) {
-      assertThat(call(round % DAEMONS, shape.deadly())).isEqualTo(NOT_RUN);
-      assertThat(call(round % DAEMONS, shape.sound())).isEqualTo(200);
+      int daemon = round % DAEMONS;
+      assertThat(call(daemon, shape.deadly())).isEqualTo(NOT_RUN);
+      mesh.await(() -> call(daemon, shape.sound()) == 200);
     }
 
     assertThat(ends()).isEqualTo(endsWhenKnown);
@@ -170,7 +173,10 @@
     PlatformMesh.Member restarted = mesh.restart(0);
     mesh.await(() -> mesh.isReady(restarted));
 
-    assertThat(call(0, Shape.PATH.deadly())).isEqualTo(NOT_RUN);
+    mesh.await(() -> call(0, Shape.PATH.sound()) == 200);
+    for (int round = 0; round < ROUNDS * DAEMONS; round++) {
+      assertThat(call(0, Shape.PATH.deadly())).isEqualTo(NOT_RUN);
+    }
     assertThat(ends()).isEqualTo(endsWhenKnown);
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -31,6 +31,13 @@
   BAD_REQUEST("bad-request", 400),
   TOO_LARGE("too-large", 413),
   HEADERS_TOO_LARGE("headers-too-large", 431),
+  /** Upstreams have ended when they ran the request. */
+  QUARANTINED("quarantined", 503) {
+    @Override
+    public boolean mayRedirect() {
+      return false;
+    }
+  },
   /** The route needs a key of an organisation, and the request has no known one. */
   UNAUTHENTICATED("unauthenticated", 401),
   /** The configuration may be older than the revocation of the key in the request. */
@@ -76,6 +83,11 @@
     return requiresOtherUpstream;
   }
 
+  /** Returns whether another daemon may accept the call. */
+  public boolean mayRedirect() {
+    return true;
+  }
+
   /** Returns how long an entry prefers other upstreams to the one that refused. */
   public Duration avoidanceTime() {
     return avoidanceTime;
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipComposer.java
@@ -7,7 +7,10 @@
 import java.util.function.Supplier;
 import org.parsleycart.decision.message.ConfigurationHead;
 import org.parsleycart.decision.message.Gossip;
+import org.parsleycart.decision.message.RequestEvidence;
+import org.parsleycart.decision.message.RequestEvidence.Subject;
 import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 import org.parsleycart.decision.spreading.UrgentFacts;
 import org.parsleycart.model.ResourceReference;
 
@@ -15,14 +18,18 @@
 final class GossipComposer {
   private static final int MAXIMUM_CANDIDATE_RECORDS = 64;
   private static final int MAXIMUM_URGENT_FACTS = 4;
+  private static final int MAXIMUM_EVIDENCE = 2;
 
   private final MembershipTable table;
   private final GossipSettings settings;
   private final Supplier<ConfigurationHead> head;
   private final Supplier<Optional<Duration>> confirmationAge;
   private final UrgentFacts urgentFacts;
+  private final RequestQuarantine quarantine;
   private final DisseminationQueue<String> memberQueue = new DisseminationQueue<>();
   private final DisseminationQueue<ResourceReference> urgentFactQueue = new DisseminationQueue<>();
+  private final DisseminationQueue<Subject> evidenceQueue = new DisseminationQueue<>();
+  private boolean isUrgent;
 
   // -- construction
 
@@ -31,12 +38,14 @@
       GossipSettings settings,
       Supplier<ConfigurationHead> head,
       Supplier<Optional<Duration>> confirmationAge,
-      UrgentFacts urgentFacts) {
+      UrgentFacts urgentFacts,
+      RequestQuarantine quarantine) {
     this.table = table;
     this.settings = settings;
     this.head = head;
     this.confirmationAge = confirmationAge;
     this.urgentFacts = urgentFacts;
+    this.quarantine = quarantine;
   }
 
   // -- queueing
@@ -51,6 +60,33 @@
     urgentFactQueue.add(subject);
   }
 
+  /** Queues the status of a sender that is not alive, so that the sender can refute it. */
+  void enqueueUnlessAlive(String source) {
+    table
+        .find(source)
+        .filter(record -> record.status() != MemberStatus.ALIVE)
+        .ifPresent(record -> enqueueMember(source));
+  }
+
+  /** Merges evidence on requests and queues what was not known. */
+  void mergeEvidence(List<RequestEvidence> received) {
+    List<RequestEvidence> changed = quarantine.merge(received);
+    changed.forEach(this::enqueueEvidence);
+    isUrgent |= changed.stream().anyMatch(quarantine::isUrgent);
+  }
+
+  /** Returns whether urgent evidence was merged since the last call of this method. */
+  boolean takeUrgency() {
+    boolean wasUrgent = isUrgent;
+    isUrgent = false;
+    return wasUrgent;
+  }
+
+  /** Queues evidence on requests for the next datagrams. */
+  void enqueueEvidence(RequestEvidence evidence) {
+    evidenceQueue.add(evidence.subject());
+  }
+
   /** Returns the number of queued member records. */
   int backlog() {
     return memberQueue.size();
@@ -71,9 +107,14 @@
     subjects.forEach(subject -> urgentFactQueue.recordTransmission(subject, fleetSize));
     List<UrgentFact> facts =
         subjects.stream().flatMap(subject -> urgentFacts.find(subject).stream()).toList();
+    List<Subject> evidenceSubjects = evidenceQueue.leastSent(MAXIMUM_EVIDENCE);
+    evidenceSubjects.forEach(subject -> evidenceQueue.recordTransmission(subject, fleetSize));
+    List<RequestEvidence> evidence =
+        evidenceSubjects.stream().flatMap(subject -> quarantine.find(subject).stream()).toList();
     // Read the age first: a head installed in between may be newer than the confirmed one.
     Optional<Duration> age = confirmationAge.get();
-    return new Gossip(table.self().identifier(), head.get(), age, records, statuses, facts);
+    return new Gossip(
+        table.self().identifier(), head.get(), age, records, statuses, facts, evidence);
   }
 
   /**
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/membership/GossipProtocol.java
@@ -19,7 +19,9 @@
 import org.parsleycart.decision.message.ControlMessage.Probe;
 import org.parsleycart.decision.message.Gossip;
 import org.parsleycart.decision.message.OutgoingMessage;
+import org.parsleycart.decision.message.RequestEvidence;
 import org.parsleycart.decision.message.UrgentFact;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.decision.spreading.PullPlanner;
 import org.parsleycart.decision.spreading.UrgentFacts;
@@ -67,6 +69,7 @@
    * @param freshness supplies the age of the last confirmation, and records those of other members
    * @param urgentFacts the facts to disseminate; received facts are merged into it
    * @param pullPlanner records the heads that other members announce
+   * @param quarantine the evidence on requests to disseminate; received evidence is merged into it
    */
   public GossipProtocol(
       MembershipTable table,
@@ -76,7 +79,8 @@
       Supplier<ConfigurationHead> head,
       Freshness freshness,
       UrgentFacts urgentFacts,
-      PullPlanner pullPlanner) {
+      PullPlanner pullPlanner,
+      RequestQuarantine quarantine) {
     this.table = requireNonNull(table, "table is null");
     this.settings = requireNonNull(settings, "settings is null");
     this.clock = requireNonNull(clock, "clock is null");
@@ -87,7 +91,12 @@
     this.pullPlanner = requireNonNull(pullPlanner, "pullPlanner is null");
     this.composer =
         new GossipComposer(
-            table, settings, head, () -> freshness.confirmationAge(clock.instant()), urgentFacts);
+            table,
+            settings,
+            head,
+            () -> freshness.confirmationAge(clock.instant()),
+            urgentFacts,
+            requireNonNull(quarantine, "quarantine is null"));
     Instant now = clock.instant();
     this.nextProbeAt = now.plus(jittered(settings.probeInterval()));
     this.lastTickAt = now;
@@ -196,7 +205,13 @@
   /** Processes a received datagram and returns the messages to send in response. */
   public List<OutgoingMessage> receive(ControlMessage message) {
     requireNonNull(message, "message is null");
-    Instant now = clock.instant();
+    List<OutgoingMessage> responses = respond(message, clock.instant());
+    return composer.takeUrgency()
+        ? Stream.concat(responses.stream(), announce().stream()).toList()
+        : responses;
+  }
+
+  private List<OutgoingMessage> respond(ControlMessage message, Instant now) {
     if (message instanceof Probe probe) {
       processGossip(probe.gossip(), now);
       return List.of(
@@ -241,8 +256,9 @@
   private void processGossip(Gossip gossip, Instant now) {
     gossip.records().forEach(record -> mergeAndEnqueue(record, now));
     gossip.statuses().forEach(update -> mergeStatus(update, now));
-    enqueueStatusOfSource(gossip.source());
+    composer.enqueueUnlessAlive(gossip.source());
     mergeUrgentFacts(gossip.urgentFacts());
+    mergeRequestEvidence(gossip.requestEvidence());
     ConfigurationHead ownHead = head.get();
     pullPlanner.recordHead(gossip.source(), gossip.head(), ownHead);
     freshness.recordPeerConfirmation(gossip.head(), gossip.confirmationAge(), ownHead, now);
@@ -266,19 +282,22 @@
         .ifPresent(record -> mergeAndEnqueue(record, now));
   }
 
-  /** Queues the status of a sender that is not alive, so that the sender can refute it. */
-  private void enqueueStatusOfSource(String source) {
-    table
-        .find(source)
-        .filter(record -> record.status() != MemberStatus.ALIVE)
-        .ifPresent(record -> composer.enqueueMember(source));
-  }
-
   /** Merges urgent facts and queues those that changed for dissemination. */
   public void mergeUrgentFacts(List<UrgentFact> facts) {
     urgentFacts.merge(facts).forEach(fact -> composer.enqueueUrgentFact(fact.subject()));
   }
 
+  /** Merges evidence on requests and queues what was not known for dissemination. */
+  public void mergeRequestEvidence(List<RequestEvidence> evidence) {
+    composer.mergeEvidence(evidence);
+  }
+
+  /** Queues evidence found by this daemon and returns announcements for a few random members. */
+  public List<OutgoingMessage> announceRequestEvidence(List<RequestEvidence> evidence) {
+    evidence.forEach(composer::enqueueEvidence);
+    return announce();
+  }
+
   /** Queues a fact decided by this daemon and returns announcements for a few random members. */
   public List<OutgoingMessage> announceUrgentFact(UrgentFact fact) {
     composer.enqueueUrgentFact(fact.subject());
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/ControlMessage.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/ControlMessage.java
@@ -86,14 +86,27 @@
     }
   }
 
-  /** Carries the member records of the buckets that differ, and all urgent facts. */
+  /**
+   * Carries the member records of the buckets that differ, and all urgent facts and evidence on
+   * requests.
+   */
   record MembershipAnswer(
-      ConfigurationHead head, List<MemberRecord> records, List<UrgentFact> urgentFacts)
+      ConfigurationHead head,
+      List<MemberRecord> records,
+      List<UrgentFact> urgentFacts,
+      List<RequestEvidence> requestEvidence)
       implements ControlMessage {
     public MembershipAnswer {
       requireNonNull(head, "head is null");
       records = List.copyOf(records);
       urgentFacts = List.copyOf(urgentFacts);
+      requestEvidence = List.copyOf(requestEvidence);
+    }
+
+    /** Creates an answer without evidence on requests. */
+    public MembershipAnswer(
+        ConfigurationHead head, List<MemberRecord> records, List<UrgentFact> urgentFacts) {
+      this(head, records, urgentFacts, List.of());
     }
   }
 
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/Gossip.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/Gossip.java
@@ -18,6 +18,7 @@
  * @param records member records with their content
  * @param statuses member statuses without content
  * @param urgentFacts facts that are disseminated without the platform
+ * @param requestEvidence what became of requests at upstreams
  */
 public record Gossip(
     String source,
@@ -25,7 +26,8 @@
     Optional<Duration> confirmationAge,
     List<MemberRecord> records,
     List<StatusUpdate> statuses,
-    List<UrgentFact> urgentFacts) {
+    List<UrgentFact> urgentFacts,
+    List<RequestEvidence> requestEvidence) {
 
   // -- construction
 
@@ -36,5 +38,17 @@
     records = List.copyOf(records);
     statuses = List.copyOf(statuses);
     urgentFacts = List.copyOf(urgentFacts);
+    requestEvidence = List.copyOf(requestEvidence);
+  }
+
+  /** Creates gossip without evidence on requests. */
+  public Gossip(
+      String source,
+      ConfigurationHead head,
+      Optional<Duration> confirmationAge,
+      List<MemberRecord> records,
+      List<StatusUpdate> statuses,
+      List<UrgentFact> urgentFacts) {
+    this(source, head, confirmationAge, records, statuses, urgentFacts, List.of());
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/RetryPolicy.java
@@ -93,7 +93,7 @@
   public boolean acquireRedirect(
       String service, int refusals, RefusalReason reason, Duration remaining) {
     requireNonNull(reason, "reason is null");
-    if (remaining.compareTo(MINIMUM_USEFUL_TIME) <= 0) {
+    if (!reason.mayRedirect() || remaining.compareTo(MINIMUM_USEFUL_TIME) <= 0) {
       return false;
     }
     return reason.requiresOtherUpstream()
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/GossipProtocolTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/GossipProtocolTest.java
@@ -10,6 +10,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.parsleycart.decision.message.RequestEvidence;
+import org.parsleycart.decision.message.RequestEvidence.Event;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 
 class GossipProtocolTest {
   private SimulatedNetwork network;
@@ -42,6 +45,24 @@
                     .isPresent());
   }
 
+  /** Guards against a request that ends further upstreams at daemons that do not know of it. */
+  @Test
+  void shouldDisseminateEvidenceOnRequestsWithinThreeSeconds() {
+    SimulatedNetwork large = new SimulatedNetwork(60, 7);
+    large.introduceAll();
+    large.advance(Duration.ofSeconds(20));
+    IntStream.range(0, RequestQuarantine.ENDED_PROCESSES)
+        .forEach(
+            index ->
+                large.reportEvidence(
+                    index, RequestEvidence.of(Event.ENDED, "i-" + index, List.of(5L))));
+
+    large.advance(Duration.ofSeconds(3));
+
+    assertThat(IntStream.range(0, 60).mapToObj(large::quarantine))
+        .allMatch(quarantine -> quarantine.isQuarantined(5));
+  }
+
   @Test
   void shouldDeclareAMemberDeadWithinTenSecondsWhenItStops() {
     network.stop(0);
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/SimulatedNetwork.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/membership/SimulatedNetwork.java
@@ -13,6 +13,8 @@
 import java.util.stream.IntStream;
 import org.parsleycart.decision.message.ConfigurationHead;
 import org.parsleycart.decision.message.OutgoingMessage;
+import org.parsleycart.decision.message.RequestEvidence;
+import org.parsleycart.decision.quarantine.RequestQuarantine;
 import org.parsleycart.decision.spreading.Freshness;
 import org.parsleycart.decision.spreading.PullPlanner;
 import org.parsleycart.decision.spreading.UrgentFacts;
@@ -27,6 +29,7 @@
   private final Random random;
   private final List<GossipProtocol> members = new ArrayList<>();
   private final Map<Integer, Freshness> freshness = new HashMap<>();
+  private final Map<Integer, RequestQuarantine> quarantines = new HashMap<>();
   private final Set<Integer> stopped = new HashSet<>();
   private final List<Delivery> inFlight = new ArrayList<>();
   private BiPredicate<Integer, Integer> blocked = (source, target) -> false;
@@ -58,7 +61,8 @@
         () -> new ConfigurationHead(0, "0000000000000000"),
         freshness.computeIfAbsent(index, unused -> new Freshness()),
         new UrgentFacts(),
-        new PullPlanner(identifier(index), new Random(random.nextLong())));
+        new PullPlanner(identifier(index), new Random(random.nextLong())),
+        quarantine(index));
   }
 
   String identifier(int index) {
@@ -69,6 +73,11 @@
     return members;
   }
 
+  RequestQuarantine quarantine(int index) {
+    return quarantines.computeIfAbsent(
+        index, unused -> new RequestQuarantine(clock, quarantined -> {}));
+  }
+
   Freshness freshness(int index) {
     return freshness.get(index);
   }
@@ -134,6 +143,11 @@
     send(index, members.get(index).announceSelf(status, upstreams));
   }
 
+  void reportEvidence(int index, RequestEvidence evidence) {
+    List<RequestEvidence> changed = quarantine(index).merge(List.of(evidence));
+    send(index, members.get(index).announceRequestEvidence(changed));
+  }
+
   void advance(Duration duration) {
     Instant end = clock.instant().plus(duration);
     while (clock.instant().isBefore(end)) {
--- a/parsleycart-link/src/main/java/org/parsleycart/link/GossipCodec.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/GossipCodec.java
@@ -40,6 +40,7 @@
           Document.sequence(gossip.statuses().stream().map(StatusUpdate::toDocument).toList()));
     }
     writeUrgent(gossip.urgentFacts(), builder);
+    RequestEvidenceCodec.write(gossip.requestEvidence(), builder);
   }
 
   static Gossip read(MappingReader reader, List<Problem> problems) {
@@ -49,7 +50,8 @@
         reader.number(CONFIRMATION_AGE, 0, MAXIMUM_AGE_MILLISECONDS).map(Duration::ofMillis),
         readRecords(reader, problems),
         reader.items(STATUSES, item -> StatusUpdate.from(item, problems)),
-        readUrgent(reader, problems));
+        readUrgent(reader, problems),
+        RequestEvidenceCodec.read(reader, problems));
   }
 
   // -- head
--- a/parsleycart-link/src/main/java/org/parsleycart/link/MessageType.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/MessageType.java
@@ -151,6 +151,7 @@
       GossipCodec.writeHead(answer.head(), builder);
       GossipCodec.writeRecords(answer.records(), builder);
       GossipCodec.writeUrgent(answer.urgentFacts(), builder);
+      RequestEvidenceCodec.write(answer.requestEvidence(), builder);
     }
 
     @Override
@@ -158,7 +159,8 @@
       return new MembershipAnswer(
           GossipCodec.readHead(reader),
           GossipCodec.readRecords(reader, problems),
-          GossipCodec.readUrgent(reader, problems));
+          GossipCodec.readUrgent(reader, problems),
+          RequestEvidenceCodec.read(reader, problems));
     }
   },
   IN_FORCE_REQUEST("in-force-request", InForceRequest.class) {
