Write changes again that a restored platform has lost, in our own dialect

Cause: a daemon whose log was ahead of the rows inserted the next one after a gap.

Evidence: ConfigurationStoreTest.shouldWriteRowsAgainWhenTheTableHasLostTheNewest. The matrix of faults covers the fifth operation of an acceptance too.

--- a/parsleycart-store/src/main/java/org/parsleycart/store/ConfigurationStore.java
+++ b/parsleycart-store/src/main/java/org/parsleycart/store/ConfigurationStore.java
@@ -5,7 +5,9 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -76,7 +78,8 @@
     requireNonNull(change, "change is null");
     Optional<Long> base = basedOn;
     for (int attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
-      Either<PlatformError, Integer> caughtUp = catchUp();
+      Either<PlatformError, Integer> caughtUp =
+          catchUp().flatMap(added -> writeLostRowsAgain().map(written -> added));
       if (caughtUp.isLeft()) {
         return Either.left(new AcceptanceError.Unavailable(caughtUp.getLeft()));
       }
@@ -105,6 +108,35 @@
             MAXIMUM_ATTEMPTS + " attempts failed because of concurrent changes"));
   }
 
+  /**
+   * Inserts the rows of the newest changes in force again if the platform has lost them, because it
+   * was restored from a copy. Otherwise the next row would follow a gap, past which no other daemon
+   * could read. Returns the number of rows that were missing.
+   */
+  private Either<PlatformError, Integer> writeLostRowsAgain() {
+    Deque<VersionedChange> lost = new ArrayDeque<>();
+    List<VersionedChange> changes = log.recentChanges();
+    for (int index = changes.size() - 1; index >= 0; index--) {
+      Either<PlatformError, Optional<Row>> row =
+          platform.table().read(rowKey(changes.get(index).version()));
+      if (row.isLeft()) {
+        return Either.left(row.getLeft());
+      }
+      if (row.get().isPresent()) {
+        break;
+      }
+      lost.addFirst(changes.get(index));
+    }
+    for (VersionedChange change : lost) {
+      Either<PlatformError, Boolean> inserted =
+          platform.table().insertIfAbsent(rowKey(change.version()), ChangeCodec.toBytes(change));
+      if (inserted.isLeft()) {
+        return Either.left(inserted.getLeft());
+      }
+    }
+    return Either.right(lost.size());
+  }
+
   private Either<AcceptanceError, Optional<Long>> insert(
       ConfigurationChange change, Configuration current) {
     return current
--- a/parsleycart-store/src/test/java/org/parsleycart/store/ConfigurationStoreTest.java
+++ b/parsleycart-store/src/test/java/org/parsleycart/store/ConfigurationStoreTest.java
@@ -19,7 +19,7 @@
 import org.parsleycart.store.FaultyTable.Fault;
 
 class ConfigurationStoreTest {
-  private static final int OPERATIONS_PER_ACCEPTANCE = 4;
+  private static final int OPERATIONS_PER_ACCEPTANCE = 5;
   private static final int ALL_FURTHER_OPERATIONS = 1000;
 
   private final InMemoryTable table = new InMemoryTable();
@@ -52,6 +52,30 @@
         .count();
   }
 
+  /**
+   * Guards against a gap in the rows, past which no daemon can read, after a restore from a copy.
+   */
+  @Test
+  void shouldWriteRowsAgainWhenTheTableHasLostTheNewest() {
+    store.accept(addZone("first", "abdali"), Optional.empty()).get();
+    store.accept(addZone("second", "marka"), Optional.empty()).get();
+    store.accept(addZone("third", "khalda"), Optional.empty()).get();
+    List.of(2L, 3L).forEach(this::loseRow);
+
+    store.accept(addZone("fourth", "sweileh"), Optional.empty()).get();
+
+    ConfigurationLog reader = ConfigurationLog.empty();
+    InstantSource clock = InstantSource.fixed(Instant.EPOCH);
+    assertThat(new ConfigurationStore(new Platform(table, objects), reader, clock).catchUp().get())
+        .isEqualTo(4);
+    assertThat(reader.current().zones()).hasSize(4);
+  }
+
+  private void loseRow(long version) {
+    String key = ConfigurationStore.rowKey(version);
+    table.delete(key, table.read(key).get().orElseThrow().revision()).get();
+  }
+
   static Stream<Arguments> faultsAtEveryOperation() {
     return Stream.of(Fault.values())
         .flatMap(
