Bound the bytes of a response that are not part of its body

Report of other operators: a faulty server sent bytes that were no answer, without end, until the caller closed; the machine that had called it ran out of memory, and the requests of others ended with it.

Cause: the parser of the HTTP client reads the lines around chunks and the trailers without a limit. Only heads were bounded here.

Evidence: EndlessBodyTest, 8 of 21 cases failed on: more than 32 MB taken in a chunk size, a chunk extension, garbage in place of a line end, or one trailer, from an upstream beside the daemon and through another daemon.

Change: a read of a response fails once 128 KiB have come without a byte of its body. The conduit that bounds heads does this too, and is named for both.

Measured: EndlessBodyTest (21), EndlessAnswerTest (9) and HttpClientHeadTest (3) pass.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/BodyTransfer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/BodyTransfer.java
@@ -20,6 +20,7 @@
   private final StreamSourceChannel source;
   private final StreamSinkChannel sink;
   private final ByteBufferPool pool;
+  private final Runnable onRead;
   private final Listener listener;
   private Optional<PooledByteBuffer> pooledBuffer = Optional.empty();
   private Optional<IOException> sourceFailure = Optional.empty();
@@ -41,7 +42,12 @@
   // -- construction
 
   private BodyTransfer(
-      StreamSourceChannel source, StreamSinkChannel sink, ByteBufferPool pool, Listener listener) {
+      StreamSourceChannel source,
+      StreamSinkChannel sink,
+      ByteBufferPool pool,
+      Runnable onRead,
+      Listener listener) {
+    this.onRead = onRead;
     this.source = source;
     this.sink = sink;
     this.pool = pool;
@@ -51,9 +57,23 @@
   /** Starts a transfer. The listener may be called before this method returns. */
   static void start(
       StreamSourceChannel source, StreamSinkChannel sink, ByteBufferPool pool, Listener listener) {
+    start(source, sink, pool, () -> {}, listener);
+  }
+
+  /**
+   * Starts a transfer. The listener may be called before this method returns.
+   *
+   * @param onRead runs whenever bytes were read from the source
+   */
+  static void start(
+      StreamSourceChannel source,
+      StreamSinkChannel sink,
+      ByteBufferPool pool,
+      Runnable onRead,
+      Listener listener) {
     requireNonNull(source, "source is null");
     requireNonNull(sink, "sink is null");
-    BodyTransfer transfer = new BodyTransfer(source, sink, pool, listener);
+    BodyTransfer transfer = new BodyTransfer(source, sink, pool, onRead, listener);
     ChannelListener<StreamSourceChannel> onReadable = ready -> transfer.run();
     ChannelListener<StreamSinkChannel> onWritable = ready -> transfer.run();
     source.getReadSetter().set(onReadable);
@@ -104,6 +124,9 @@
     try {
       do {
         count = source.read(buffer);
+        if (count > 0) {
+          onRead.run();
+        }
       } while (count > 0 && buffer.hasRemaining());
     } catch (IOException e) {
       // What arrived before the failure is still passed on.
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
@@ -14,24 +14,24 @@
 import org.xnio.XnioIoThread;
 
 /**
- * A client connection on which the head of each response is bounded. Confined to the input/output
- * thread of the connection.
+ * A client connection on which the bytes of each response outside its body are bounded. Confined to
+ * the input/output thread of the connection.
  */
 public final class BoundedConnection implements Closeable {
   private final ClientConnection connection;
   private final StreamConnection stream;
   private final TurnConduit turn;
-  private final BoundedHeadConduit heads;
+  private final BoundedResponseConduit responses;
 
   BoundedConnection(
       ClientConnection connection,
       StreamConnection stream,
       TurnConduit turn,
-      BoundedHeadConduit heads) {
+      BoundedResponseConduit responses) {
     this.connection = requireNonNull(connection, "connection is null");
     this.stream = requireNonNull(stream, "stream is null");
     this.turn = requireNonNull(turn, "turn is null");
-    this.heads = requireNonNull(heads, "heads is null");
+    this.responses = requireNonNull(responses, "responses is null");
   }
 
   // -- exchanges
@@ -43,13 +43,18 @@
    *     has its response
    */
   public void send(ClientRequest request, ClientCallback<ClientExchange> callback) {
-    heads.expectHead();
+    responses.expectHead();
     connection.sendRequest(request, callback);
   }
 
-  /** Records that the head of the response is complete. Its body is not bounded. */
+  /** Records that the head of the response is complete. */
   public void headReceived() {
-    heads.completeHead();
+    responses.completeHead();
+  }
+
+  /** Records that bytes of the body of the response were read. */
+  public void bodyReceived() {
+    responses.recordBody();
   }
 
   // -- queries
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnector.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnector.java
@@ -79,7 +79,7 @@
     // The callback of a connection runs within its open listener, so that both see the same one.
     private StreamConnection stream;
     private TurnConduit turn;
-    private BoundedHeadConduit heads;
+    private BoundedResponseConduit responses;
 
     private GuardingThread() {
       super(thread.getWorker(), thread.getNumber());
@@ -87,7 +87,7 @@
 
     /** Returns the connection that is being opened. */
     private BoundedConnection opened(ClientConnection connection) {
-      return new BoundedConnection(connection, stream, turn, heads);
+      return new BoundedConnection(connection, stream, turn, responses);
     }
 
     @Override
@@ -101,8 +101,8 @@
             stream = newStream;
             turn = TurnConduit.install(newStream, BYTES_PER_TURN);
             ConduitStreamSourceChannel source = newStream.getSourceChannel();
-            heads = new BoundedHeadConduit(source.getConduit());
-            source.setConduit(heads);
+            responses = new BoundedResponseConduit(source.getConduit());
+            source.setConduit(responses);
             ChannelListeners.invokeChannelListener(newStream, openListener);
           },
           optionMap);
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedHeadConduit.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedResponseConduit.java
@@ -6,16 +6,20 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Bounds the head of each response on a client connection. The parser of the HTTP client keeps all
- * fields that it reads, however many arrive.
+ * Bounds the bytes of each response on a client connection that are not part of its body: its head,
+ * the lines around chunks and the trailers. The parsers of the HTTP client keep or skip all that
+ * they read, however much arrives.
  *
- * <p>A read fails once the head is too large, which ends the exchange and its connection. Bodies
- * pass unchanged. Confined to the input/output thread of the connection.
+ * <p>A read fails once there are too many, which ends the exchange and its connection. Confined to
+ * the input/output thread of the connection.
  */
-final class BoundedHeadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+final class BoundedResponseConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
   /** The size of a head in bytes, with all informational responses before it. */
   static final int MAXIMUM_HEAD_BYTES = 32 * 1024;
 
+  /** Bytes between two bytes of a body, and after the last one: several buffers of a transfer. */
+  static final int MAXIMUM_BYTES_WITHOUT_BODY = 128 * 1024;
+
   /** Lines of one head. Below the number at which the parser of the client gives up. */
   static final int MAXIMUM_LINES = 150;
 
@@ -25,13 +29,15 @@
   private static final char INFORMATIONAL = '1';
 
   private boolean isHeadExpected;
+  private boolean isBodyExpected;
+  private long bytesWithoutBody;
   private int remainingBytes;
   private boolean isInLines;
   private boolean isInformational;
   private int lines;
   private int column;
 
-  BoundedHeadConduit(StreamSourceConduit next) {
+  BoundedResponseConduit(StreamSourceConduit next) {
     super(next);
   }
 
@@ -40,13 +46,21 @@
   /** Bounds what is read from now on, until the head of the next response is complete. */
   void expectHead() {
     isHeadExpected = true;
+    isBodyExpected = false;
     remainingBytes = MAXIMUM_HEAD_BYTES;
     startHead();
   }
 
-  /** Records that the head is complete. What follows it is not bounded. */
+  /** Records that the head is complete, and that a body may follow. */
   void completeHead() {
     isHeadExpected = false;
+    isBodyExpected = true;
+    bytesWithoutBody = 0;
+  }
+
+  /** Records that bytes of the body were read. */
+  void recordBody() {
+    bytesWithoutBody = 0;
   }
 
   private void startHead() {
@@ -61,10 +75,10 @@
   @Override
   public int read(ByteBuffer target) throws IOException {
     if (!isHeadExpected) {
-      return next.read(target);
+      return (int) countWithoutBody(next.read(target));
     }
     if (remainingBytes == 0) {
-      throw new OversizedHeadException("larger than " + MAXIMUM_HEAD_BYTES + " bytes");
+      throw new OversizedResponseException("head larger than " + MAXIMUM_HEAD_BYTES + " bytes");
     }
     int start = target.position();
     int limit = target.limit();
@@ -85,7 +99,7 @@
   @Override
   public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
     if (!isHeadExpected) {
-      return next.read(targets, offset, length);
+      return countWithoutBody(next.read(targets, offset, length));
     }
     for (int index = offset; index < offset + length; index++) {
       if (targets[index].hasRemaining()) {
@@ -95,6 +109,15 @@
     return 0;
   }
 
+  private long countWithoutBody(long count) throws IOException {
+    bytesWithoutBody += isBodyExpected ? Math.max(0, count) : 0;
+    if (bytesWithoutBody > MAXIMUM_BYTES_WITHOUT_BODY) {
+      throw new OversizedResponseException(
+          "with over " + MAXIMUM_BYTES_WITHOUT_BODY + " bytes that are not part of its body");
+    }
+    return count;
+  }
+
   private void count(char next) throws IOException {
     if (!isInLines) {
       return;
@@ -116,7 +139,7 @@
     } else if (isEndOfHead) {
       isInLines = false;
     } else if (lines > MAXIMUM_LINES) {
-      throw new OversizedHeadException("of more than " + MAXIMUM_LINES + " lines");
+      throw new OversizedResponseException("head of more than " + MAXIMUM_LINES + " lines");
     }
   }
 }
