Refuse calls whose body is complete only when a stop would cut them

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer, among them requests that may not be repeated (LOST).

Cause: whether new calls are refused was decided when the head of a request arrived. A call whose body came later was sent to an upstream at any moment up to the end of the grace time.

Change: the decision is taken again when the body is complete; nothing has been sent until then, so 503 is true.

Evidence: MeshTest.shouldRefuseCallWhoseBodyEndsWhenAStopWouldCutIt got 200 without the change and passes with it; all 13 tests of MeshTest pass.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -74,6 +74,12 @@
     if (isFinished) {
       return;
     }
+    if (dependencies.state().isRefusingNewCalls()) {
+      // The shutdown has reached that point while the body arrived.
+      lastRefusal = RefusalReason.STOPPING;
+      endWithoutResponse();
+      return;
+    }
     attempt(body);
   }
 
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/MeshTest.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -206,6 +208,29 @@
     assertThat(call(1).status()).isEqualTo(200);
   }
 
+  /** Guards against a call that is sent on late in a stop, because its body came late, and cut. */
+  @Test
+  void shouldRefuseCallWhoseBodyEndsWhenAStopWouldCutIt() throws IOException {
+    long answeredBefore = abdaliUpstream.answered() + markaUpstream.answered();
+    String[] address = mesh.member(0).callers().split(":", 2);
+    try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+      write(socket, "POST /read HTTP/1.1\r\nHost: mesh\r\nContent-Length: 4\r\n\r\nab");
+      mesh.await(
+          () -> operate(0, "GET /metrics").text().contains("parsleycart_calls_in_progress 1.0"));
+      mesh.member(0).daemon().refuseNewCalls();
+      write(socket, "cd");
+
+      byte[] status = socket.getInputStream().readNBytes("HTTP/1.1 503".length());
+
+      assertThat(new String(status, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 503");
+    }
+    assertThat(abdaliUpstream.answered() + markaUpstream.answered()).isEqualTo(answeredBefore);
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
   @Test
   void shouldServeCallsAtTheOtherDaemonWhenOneCrashes() {
     mesh.member(0).daemon().kill();
