Let the sound answers of BrokenOffAnswerTest keep their connections

Cause: the sound answers before each case said nothing of their connection and then closed it. The daemon kept the connection, as it must, and sent the next call on it while it closed. Such a call reaches no upstream, whatever a daemon does, and its route allows one attempt.

Change: only answers without a length still end with their connection. The cases, their assertions and bounds are as before.

--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/BrokenOffAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/BrokenOffAnswerTest.java
@@ -32,6 +32,7 @@
   private static final int SOCKET_TIMEOUT_MILLISECONDS = 10_000;
   private static final int DEADLINE_MILLISECONDS = 300;
   private static final String BODY = "b".repeat(1000);
+  private static final ConnectionEnd KEPT = socket -> true;
 
   private static PlatformMesh mesh;
   private static SocketUpstream upstream;
@@ -62,22 +63,36 @@
       this.whole = whole;
     }
 
+    /**
+     * Returns how a whole answer ends; only one without a length needs the end of its connection.
+     */
+    private ConnectionEnd endOfWhole() {
+      return this == NONE ? Ending.CLOSE : KEPT;
+    }
+
     private static String chunks() {
       return "3e8\r\n" + BODY + "\r\n0\r\n\r\n";
     }
   }
 
+  /** What becomes of the connection after an answer. */
+  @FunctionalInterface
+  interface ConnectionEnd {
+    /** Ends the connection or not; returns whether it is kept. */
+    boolean apply(Socket socket) throws IOException;
+  }
+
   /** How an answer breaks off. */
-  enum Ending {
+  enum Ending implements ConnectionEnd {
     CLOSE {
       @Override
-      boolean apply(Socket socket) {
+      public boolean apply(Socket socket) {
         return false;
       }
     },
     RESET {
       @Override
-      boolean apply(Socket socket) throws IOException {
+      public boolean apply(Socket socket) throws IOException {
         // The part that was sent arrives before the reset discards it.
         LockSupport.parkNanos(20_000_000);
         SocketUpstream.reset(socket);
@@ -87,14 +102,11 @@
     /** The upstream stalls until the deadline of the call has passed. */
     DEADLINE {
       @Override
-      boolean apply(Socket socket) {
+      public boolean apply(Socket socket) {
         return true;
       }
     };
 
-    /** Breaks off an answer; returns whether the connection is kept. */
-    abstract boolean apply(Socket socket) throws IOException;
-
     private boolean breaksOff(Framing framing) {
       return framing != Framing.NONE || this != CLOSE;
     }
@@ -147,14 +159,17 @@
     upstream.close();
   }
 
-  /** Announces an upstream whose last answer was whole, so that it is not set aside. */
+  /**
+   * Announces an upstream whose last answer was whole, so that it is not set aside. It keeps its
+   * connections: a call that is sent while its connection closes reaches no upstream.
+   */
   @BeforeEach
   void announceSoundUpstream() {
     number++;
     mesh.beat(mesh.member(0), Heartbeat.ready("i-one", "one", upstream.address(), number));
     upstream.setScript(
         (request, socket) ->
-            answer(request, socket, Framing.LENGTH.headers + Framing.LENGTH.whole, Ending.CLOSE));
+            answer(request, socket, Framing.LENGTH.headers + Framing.LENGTH.whole, KEPT));
     for (int member = 0; member < 2; member++) {
       PlatformMesh.Member entry = mesh.member(member);
       mesh.await(() -> isAnswered(entry));
@@ -169,8 +184,8 @@
     }
   }
 
-  private static boolean answer(WireMessage request, Socket socket, String rest, Ending ending)
-      throws IOException {
+  private static boolean answer(
+      WireMessage request, Socket socket, String rest, ConnectionEnd ending) throws IOException {
     SocketUpstream.write(
         socket,
         "HTTP/1.1 200 OK\r\nParsleycart-Response-Stamp: s\r\nParsleycart-Attempt-Id: "
@@ -287,7 +302,7 @@
     for (Framing framing : Framing.values()) {
       upstream.setScript(
           (request, socket) ->
-              answer(request, socket, framing.headers + framing.whole, Ending.CLOSE));
+              answer(request, socket, framing.headers + framing.whole, framing.endOfWhole()));
 
       WireMessage response = caller.call(mesh.member(0));
 
