--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
@@ -52,7 +52,10 @@
     responses.completeHead();
   }
 
-  /** Records that bytes of the body of the response were read. */
+  /**
+   * Records that bytes of the body of the response were read. Must be called after each read that
+   * returned some, as the bytes between two bytes of a body are bounded.
+   */
   public void bodyReceived() {
     responses.recordBody();
   }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpExchange.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpExchange.java
@@ -103,6 +103,7 @@
     try {
       int count = channel.read(buffer);
       while (count > 0) {
+        connection.bodyReceived();
         responseBody.write(buffer.array(), 0, count);
         if (responseBody.size() > MAXIMUM_RESPONSE_BYTES) {
           throw new IOException("HTTP response larger than " + MAXIMUM_RESPONSE_BYTES + " bytes");
