Refuse the calls that wait for an upstream once it drains

Cause: a draining upstream refused calls that arrived, while its admission stayed open for those that waited.

Change: admission closes when an upstream drains, by a heartbeat or by an answer. Calls that wait are refused as not run, without a charge, and their entries send them to other upstreams. A zone that returns reopens only upstreams that do not drain.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -151,6 +151,7 @@
                 new PaceTracker());
     after.admission().setRemainingColdTime(heartbeat.remainingColdTime());
     upstreams.put(identifier, after);
+    closeWhenDraining(after);
     if (!isSameProcess || !before.announced().equals(after.announced())) {
       Logger.info(
           "upstream {} of service {} version {} is {}",
@@ -219,10 +220,20 @@
   public boolean drain(String identifier) {
     LocalUpstream drained =
         upstreams.computeIfPresent(identifier, (key, upstream) -> upstream.toDraining());
+    if (drained != null) {
+      closeWhenDraining(drained);
+    }
     changeListener.run();
     return drained != null;
   }
 
+  /** Refuses the calls that wait for an upstream once it drains, so that others can serve them. */
+  private static void closeWhenDraining(LocalUpstream upstream) {
+    if (upstream.announced().draining()) {
+      notifyRefusals(upstream, upstream.admission().close(RefusalReason.DRAINING));
+    }
+  }
+
   /** Marks an upstream as draining because it stated in an answer that it leaves. */
   void recordLeaving(String identifier) {
     boolean isNews = find(identifier).filter(found -> !found.announced().draining()).isPresent();
@@ -272,9 +283,11 @@
         .forEach(upstream -> notifyRefusals(upstream, upstream.admission().close(reason)));
   }
 
-  /** Reopens admission to all upstreams. They begin with a cold start. */
+  /** Reopens admission to all upstreams that do not drain. They begin with a cold start. */
   public void openAdmission() {
-    upstreams.values().forEach(upstream -> upstream.admission().reopen());
+    upstreams.values().stream()
+        .filter(upstream -> !upstream.announced().draining())
+        .forEach(upstream -> upstream.admission().reopen());
   }
 
   /** Notifies the listeners of the calls that admission refused, and reports the current load. */
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/LocalUpstreamsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/LocalUpstreamsTest.java
@@ -9,10 +9,15 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.AdmissionSettings;
+import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
 import org.parsleycart.decision.membership.DepartedProcess;
 import org.parsleycart.decision.membership.UpstreamHeartbeat;
+import org.parsleycart.model.RequestKind;
 import org.threeten.extra.MutableClock;
 
 class LocalUpstreamsTest {
@@ -43,6 +48,24 @@
     return upstreams.announced().stream().map(AnnouncedUpstream::identifier).toList();
   }
 
+  /** Guards against calls that wait beside a draining upstream and are sent to it late. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void shouldCloseAdmissionWhenUpstreamDrains(boolean isStatedByHeartbeat) {
+    receive("a", 1, 1);
+    if (isStatedByHeartbeat) {
+      upstreams.receiveHeartbeat(heartbeat("a", "one", 1, 2, true));
+    } else {
+      upstreams.drain("a");
+    }
+    upstreams.openAdmission();
+
+    AdmissionRequest<String> request =
+        new AdmissionRequest<>("call", RequestKind.INTERACTIVE_READ, "r", clock.instant());
+    assertThat(upstreams.find("a").orElseThrow().admission().expectedRefusal(request))
+        .contains(RefusalReason.DRAINING);
+  }
+
   @Nested
   class Heartbeat {
     @Test
