Document crashing requests, and let the upstream stand-in crash

`--ends-on TEXT` ends the stand-in when it runs a request whose path contains the text. Not covered by a test of its own; the tests of the mesh use MortalUpstream.

--- a/parsleycart-standin/src/main/java/org/parsleycart/standin/StandinMain.java
+++ b/parsleycart-standin/src/main/java/org/parsleycart/standin/StandinMain.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.parsleycart.link.Addresses;
@@ -112,6 +113,11 @@
     @Option(names = "--failing", description = "Answer every request with status 500.")
     private boolean failing;
 
+    @Option(
+        names = "--ends-on",
+        description = "Text in the paths of requests under which the upstream crashes.")
+    private Optional<String> deadlyPath = Optional.empty();
+
     @Option(names = "--listen", required = true, description = "IP address and port.")
     private String listen;
 
@@ -125,6 +131,7 @@
               slots, Duration.ofMillis(latency), Duration.ofMillis(warmUp), InstantSource.system());
       UpstreamStandin standin = UpstreamStandin.start(name, version, model, address(listen));
       standin.setFailing(failing);
+      standin.setDeadlyPath(deadlyPath);
       Announcer announcer =
           Announcer.start(HttpClient.start(1), daemon, name, service, version, slots, listen);
       runUntilStopped(
--- a/parsleycart-standin/src/main/java/org/parsleycart/standin/UpstreamStandin.java
+++ b/parsleycart-standin/src/main/java/org/parsleycart/standin/UpstreamStandin.java
@@ -21,10 +21,11 @@
 import org.parsleycart.link.Addresses;
 import org.parsleycart.model.document.Document;
 import org.parsleycart.model.document.JsonDocuments;
+import org.xnio.IoUtils;
 
 /**
  * A stand-in for an upstream. It answers after the latency given by its model, counts the requests
- * it executed, and can be set to fail or to add latency.
+ * it executed, and can be set to fail, to add latency, or to end under certain requests.
  */
 public final class UpstreamStandin implements AutoCloseable {
   private static final Duration NEW_CONNECTION_COST = Duration.ofMillis(1);
@@ -43,6 +44,7 @@
   private final Undertow server;
   private final LongAdder answered = new LongAdder();
   private final Map<String, AtomicInteger> executionsByKey = new ConcurrentHashMap<>();
+  private volatile Optional<String> deadlyPath = Optional.empty();
   private volatile boolean failing;
   private volatile Duration extraLatency = Duration.ZERO;
 
@@ -86,6 +88,11 @@
     failing = isFailing;
   }
 
+  /** Sets the text in the paths of requests under which the upstream ends, as if it crashed. */
+  public void setDeadlyPath(Optional<String> text) {
+    deadlyPath = requireNonNull(text, "text is null");
+  }
+
   /** Sets the latency added to every request. */
   public void setExtraLatency(Duration extra) {
     extraLatency = requireNonNull(extra, "extra is null");
@@ -119,6 +126,12 @@
   }
 
   private void execute(HttpServerExchange exchange, int bodyLength) {
+    if (deadlyPath.filter(exchange.getRequestPath()::contains).isPresent()) {
+      // Stopping the server waits for its threads, so it takes place outside them.
+      new Thread(server::stop, "crash-of-" + name).start();
+      IoUtils.safeClose(exchange.getConnection());
+      return;
+    }
     String key = exchange.getRequestHeaders().getFirst(IDEMPOTENCY_KEY);
     if (key != null) {
       executionsByKey.computeIfAbsent(key, unused -> new AtomicInteger()).incrementAndGet();
