Pace the checks whether a rendezvous address has to be written again

A daemon whose write fails after a restore would have read and written at each step of its worker, five times a second. It now tries every 400 ms, like a daemon that looks for peers.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformWorker.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/control/PlatformWorker.java
@@ -109,7 +109,6 @@
     if (!authority.isLongPolling() && pollSchedule.isDue(now)) {
       recordRead(authority.catchUp(Duration.ZERO));
     }
-    publishAgainWhenRestored();
     updateReadiness();
     updateIsolation(clock.instant());
     if (!now.isBefore(nextFactPersistence)) {
@@ -134,6 +133,7 @@
       return;
     }
     nextJoin = now.plus(JOIN_INTERVAL);
+    publishAgainWhenRestored();
     MembershipView view = gossip.view();
     if (view.size() > 1) {
       return;
