Probe an upstream only when several of its calls broke

A single answer that breaks off is no sign that the process ended. On deployments whose upstreams garble some answers each of them cost a connection to the upstream, which holds a slot there and has a price.

Change: a probe follows a second broken call, the only running call, or a connection that could not be opened; an answer to another call ends the suspicion after 200 ms.

Measured: CrashingRequestTest (3) and MeshTest (13) pass.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -248,7 +248,8 @@
         evidence ->
             control
                 .gossip()
-                .submit((protocol, pullPlanner) -> protocol.announceRequestEvidence(evidence)));
+                .submit((protocol, pullPlanner) -> protocol.announceRequestEvidence(evidence)),
+        control.clock());
   }
 
   private static void logQuarantine(RequestQuarantine.Quarantined quarantined) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -327,6 +327,8 @@
     private void recordEnd(AttemptResult result) {
       if (result.fault() == Fault.BROKEN) {
         crashDetector.recordBrokenCall(upstream, call);
+      } else if (result.fault() == Fault.UNREACHABLE) {
+        crashDetector.recordUnreachable(upstream, call);
       } else if (result.fault() == Fault.NONE || result.fault() == Fault.FAILED_ANSWER) {
         crashDetector.recordAnswer(upstream, call);
       }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CrashDetector.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CrashDetector.java
@@ -2,6 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,22 +22,33 @@
  * Detects that the process of an upstream beside this daemon has ended, and reports which requests
  * it ran then.
  *
- * <p>After a call whose connection broke, one more connection is opened: a process that accepts it
- * has not ended. Thread-safe.
+ * <p>A process that ends breaks the connections of all its calls. So once a second one breaks, or
+ * no other call was running, or a connection fails, one more connection is opened: a process that
+ * accepts it has not ended. Thread-safe.
  */
 public final class CrashDetector {
   /** More upstreams than end beside one daemon at once. The oldest is forgotten beyond this. */
   private static final int MAXIMUM_PROCESSES = 16;
 
+  /** Answers that arrived before a process ended may be read after the first broken call. */
+  private static final Duration SETTLING_TIME = Duration.ofMillis(200);
+
   private final RequestQuarantine quarantine;
   private final ConnectionPools pools;
   private final Consumer<List<RequestEvidence>> dissemination;
+  private final InstantSource clock;
   private final AnsweredRequests answered = new AnsweredRequests();
   private final Map<String, BrokenCalls> brokenCalls = new LinkedHashMap<>();
 
   private static final class BrokenCalls {
     private final Set<Long> requests = new HashSet<>();
+    private final Instant since;
+    private boolean isProbed;
     private boolean hasProcessEnded;
+
+    private BrokenCalls(Instant since) {
+      this.since = since;
+    }
   }
 
   // -- construction
@@ -47,10 +61,12 @@
   public CrashDetector(
       RequestQuarantine quarantine,
       ConnectionPools pools,
-      Consumer<List<RequestEvidence>> dissemination) {
+      Consumer<List<RequestEvidence>> dissemination,
+      InstantSource clock) {
     this.quarantine = requireNonNull(quarantine, "quarantine is null");
     this.pools = requireNonNull(pools, "pools is null");
     this.dissemination = requireNonNull(dissemination, "dissemination is null");
+    this.clock = requireNonNull(clock, "clock is null");
   }
 
   // -- events
@@ -58,6 +74,7 @@
   /** Records that an upstream answered a call that it ran. */
   void recordAnswer(LocalUpstream upstream, LocalCall call) {
     answered.record(RequestFingerprint.checksumOf(call.exchange(), call.body()));
+    forget(processOf(upstream));
     if (!quarantine.hasSuspects()) {
       return;
     }
@@ -81,37 +98,70 @@
     }
     String process = processOf(upstream);
     long request = RequestFingerprint.of(call.exchange(), call.body());
-    switch (add(process, request)) {
-      case FIRST ->
-          pools
-              .of(call.exchange().getIoThread())
-              .probe(upstream.address(), isAccepting -> probed(process, isAccepting));
-      case LATER -> {}
-      case AFTER_END -> reportEnd(process, Set.of(request));
-      default -> throw new IllegalStateException("unknown position of a broken call");
+    switch (add(process, request, upstream.admission().running() == 0)) {
+      case WAIT -> {}
+      case PROBE -> probe(upstream, call);
+      case REPORT -> reportEnd(process, Set.of(request));
+      default -> throw new IllegalStateException("unknown step after a broken call");
+    }
+  }
+
+  /**
+   * Records that no connection to an upstream could be opened. Must be called on the input/output
+   * thread of the call.
+   */
+  void recordUnreachable(LocalUpstream upstream, LocalCall call) {
+    if (startProbe(processOf(upstream))) {
+      probe(upstream, call);
     }
   }
 
-  /** When a call broke, among the calls of its process that broke. */
-  private enum Position {
-    FIRST,
-    LATER,
-    AFTER_END
+  /** What to do after a broken call. */
+  private enum Step {
+    WAIT,
+    PROBE,
+    REPORT
   }
 
-  private synchronized Position add(String process, long request) {
+  private synchronized Step add(String process, long request, boolean isOnlyCall) {
     BrokenCalls known = brokenCalls.get(process);
-    if (known != null) {
-      known.requests.add(request);
-      return known.hasProcessEnded ? Position.AFTER_END : Position.LATER;
-    }
-    if (brokenCalls.size() == MAXIMUM_PROCESSES) {
+    boolean isFirst = known == null;
+    if (isFirst && brokenCalls.size() == MAXIMUM_PROCESSES) {
       brokenCalls.remove(brokenCalls.keySet().iterator().next());
     }
-    BrokenCalls first = new BrokenCalls();
-    first.requests.add(request);
-    brokenCalls.put(process, first);
-    return Position.FIRST;
+    BrokenCalls broken =
+        brokenCalls.computeIfAbsent(process, unused -> new BrokenCalls(clock.instant()));
+    broken.requests.add(request);
+    if (broken.hasProcessEnded) {
+      return Step.REPORT;
+    }
+    return (!isFirst || isOnlyCall) && startProbe(process) ? Step.PROBE : Step.WAIT;
+  }
+
+  /** Returns whether a probe is due, because calls broke and none was made since. */
+  private synchronized boolean startProbe(String process) {
+    BrokenCalls broken = brokenCalls.get(process);
+    boolean isDue = broken != null && !broken.isProbed;
+    if (isDue) {
+      broken.isProbed = true;
+    }
+    return isDue;
+  }
+
+  /** Forgets broken calls of a process that goes on to answer others. */
+  private synchronized void forget(String process) {
+    Instant settledSince = clock.instant().minus(SETTLING_TIME);
+    brokenCalls.computeIfPresent(
+        process,
+        (unused, broken) ->
+            broken.hasProcessEnded || broken.since.isAfter(settledSince) ? broken : null);
+  }
+
+  private void probe(LocalUpstream upstream, LocalCall call) {
+    String process = processOf(upstream);
+    pools
+        .of(call.exchange().getIoThread())
+        .probe(upstream.address(), isAccepting -> probed(process, isAccepting));
   }
 
   private void probed(String process, boolean isAccepting) {
