--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CrashingRequestTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CrashingRequestTest.java
@@ -120,7 +120,7 @@
 
   private void endUpstreams(Shape shape) throws IOException {
     for (int daemon = 0; ends() < CRASHES; daemon++) {
-      call(daemon, shape.deadly());
+      call(daemon % DAEMONS, shape.deadly());
       reviveAll();
     }
   }
