Decide once what stays in force after a restore

PublishedResources worked out the resources that the platform has lost twice, for their names and for themselves. The result is the same resources; Configuration keeps them by kind and name, so their order does not matter.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PublishedResources.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/spreading/PublishedResources.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -62,17 +61,20 @@
   public List<Resource> toResources(Configuration inForce, boolean isRestored) {
     requireNonNull(inForce, "inForce is null");
     long newestGeneration = Math.max(generation, inForce.publication().generation());
-    Set<ResourceReference> retained = new HashSet<>();
-    retainedWithdrawals(inForce, isRestored).map(Resource::reference).forEach(retained::add);
-    retainedRollouts(inForce, isRestored).map(Resource::reference).forEach(retained::add);
-    Stream<Resource> withdrawalsAndRollouts =
-        Stream.concat(
-            replaced(withdrawals, retainedWithdrawals(inForce, isRestored)),
-            replaced(rollouts, retainedRollouts(inForce, isRestored)));
+    List<Resource> retained =
+        Stream.<Resource>concat(
+                retainedWithdrawals(inForce, isRestored), retainedRollouts(inForce, isRestored))
+            .toList();
+    Set<ResourceReference> references =
+        retained.stream().map(Resource::reference).collect(Collectors.toSet());
+    Stream<Resource> held =
+        Stream.<Resource>concat(withdrawals.stream(), rollouts.stream())
+            .filter(each -> !references.contains(each.reference()));
     return Stream.of(
             newestDocument(inForce),
-            withdrawalsAndRollouts,
-            Stream.<Resource>of(Publication.of(newestGeneration, retained)))
+            retained.stream(),
+            held,
+            Stream.<Resource>of(Publication.of(newestGeneration, references)))
         .flatMap(Function.identity())
         .toList();
   }
@@ -125,14 +127,4 @@
         .filter(each -> each.reference().equals(sought.reference()))
         .findFirst();
   }
-
-  private static <T extends Resource> Stream<Resource> replaced(
-      List<T> resources, Stream<T> replacements) {
-    List<T> preferred = replacements.toList();
-    Set<ResourceReference> replacedReferences =
-        preferred.stream().map(Resource::reference).collect(Collectors.toSet());
-    return Stream.concat(
-        preferred.stream(),
-        resources.stream().filter(each -> !replacedReferences.contains(each.reference())));
-  }
 }
