--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CrashDetector.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CrashDetector.java
@@ -40,6 +40,9 @@
   private final AnsweredRequests answered = new AnsweredRequests();
   private final Map<String, BrokenCalls> brokenCalls = new LinkedHashMap<>();
 
+  /** Whether any call broke; spares each answer the lock until then. */
+  private volatile boolean hasBrokenCalls;
+
   private static final class BrokenCalls {
     private final Set<Long> requests = new HashSet<>();
     private final Instant since;
@@ -74,7 +77,9 @@
   /** Records that an upstream answered a call that it ran. */
   void recordAnswer(LocalUpstream upstream, LocalCall call) {
     answered.record(RequestFingerprint.checksumOf(call.exchange(), call.body()));
-    forget(processOf(upstream));
+    if (hasBrokenCalls) {
+      forget(processOf(upstream));
+    }
     if (!quarantine.hasSuspects()) {
       return;
     }
@@ -132,6 +137,7 @@
     BrokenCalls broken =
         brokenCalls.computeIfAbsent(process, unused -> new BrokenCalls(clock.instant()));
     broken.requests.add(request);
+    hasBrokenCalls = true;
     if (broken.hasProcessEnded) {
       return Step.REPORT;
     }
@@ -155,6 +161,7 @@
         process,
         (unused, broken) ->
             broken.hasProcessEnded || broken.since.isAfter(settledSince) ? broken : null);
+    hasBrokenCalls = !brokenCalls.isEmpty();
   }
 
   private void probe(LocalUpstream upstream, LocalCall call) {
@@ -187,7 +194,7 @@
         process,
         requests.size(),
         requests.stream().map(Long::toHexString).collect(Collectors.joining(" ")));
-    report(RequestEvidence.of(Event.ENDED, process, List.copyOf(requests)));
+    report(RequestEvidence.of(Event.ENDED, process, requests));
   }
 
   private void report(RequestEvidence evidence) {
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/message/RequestEvidence.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/message/RequestEvidence.java
@@ -3,7 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
-import java.util.List;
+import java.util.Collection;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -55,7 +55,7 @@
   }
 
   /** Creates evidence of what has just happened. */
-  public static RequestEvidence of(Event event, String process, List<Long> requests) {
+  public static RequestEvidence of(Event event, String process, Collection<Long> requests) {
     return new RequestEvidence(event, process, Set.copyOf(requests), Duration.ZERO);
   }
 
