Show what crowds of clients do to a daemon, with lowered limits

What callers saw: a daemon that ends, or that goes on running and answers nobody, after a crowd of clients that sent whole requests of 4 KB with 500 parameters, heads that stop before their end, requests sent ahead without reading, or nothing at all.

Tests only; the crowds and the bounds stay as they are. A daemon runs in a process of its own with a heap of 32 MB, 1 MB of direct memory or 300 connections of callers. The tests check that it lives, its resident memory and descriptors, and one ordinary request of a new caller afterwards.

Ordinary callers of these tests open a connection of their own: one that is kept from before the crowd hides that nobody else gets in.

--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/AbusiveClients.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/AbusiveClients.java
@@ -52,7 +52,8 @@
     /** Returns false when everything has been sent. */
     private boolean write(SocketChannel channel) throws IOException {
       if (!pending.hasRemaining()) {
-        int count = Math.min(repetitionsLeft, Math.max(1, load.bytesPerWrite() / part.length));
+        int perWrite = Math.max(1, load.bytesPerWrite() / Math.max(1, part.length));
+        int count = Math.min(repetitionsLeft, perWrite);
         ByteBuffer next = ByteBuffer.allocate(count * part.length);
         for (int index = 0; index < count; index++) {
           next.put(part);
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/AbusiveLoad.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/AbusiveLoad.java
@@ -48,7 +48,38 @@
       "", "GET /%LARGE% HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", 100, 64 * 1024, Reading.NONE),
   /** Large responses of which only the beginning is read. */
   HALF_READ_RESPONSES(
-      "", "GET /%LARGE% HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", 100, 64 * 1024, Reading.BEGINNING);
+      "", "GET /%LARGE% HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n", 100, 64 * 1024, Reading.BEGINNING),
+  /** One whole request with 500 parameters. */
+  MANY_PARAMETERS(
+      "GET /%PATH%" + parameters(500) + " HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n",
+      "",
+      0,
+      64 * 1024,
+      Reading.ALL),
+  /** Heads with 900 parameters that stop before their last empty line. */
+  UNFINISHED_PARAMETERS(
+      "GET /%PATH%" + parameters(900) + " HTTP/1.1\r\nHost: 127.0.0.1\r\n",
+      "",
+      0,
+      64 * 1024,
+      Reading.ALL),
+  /** Heads with 15 KB in 190 fields that stop before their last empty line. */
+  UNFINISHED_FIELDS(
+      "GET /%PATH% HTTP/1.1\r\nHost: 127.0.0.1\r\n" + longFields(190),
+      "",
+      0,
+      64 * 1024,
+      Reading.ALL),
+  /** Five requests at once, whose responses are never read. */
+  SENT_AHEAD("", get(""), 5, 64 * 1024, Reading.NONE),
+  /** Empty lines without end before a request. */
+  EMPTY_LINES("", "\r\n".repeat(512), Integer.MAX_VALUE, 1024, Reading.ALL),
+  /** Bare line feeds without end before a request. */
+  BARE_LINE_FEEDS("", "\n".repeat(1024), Integer.MAX_VALUE, 1024, Reading.ALL),
+  /** Some empty lines and nothing behind them. */
+  STOPPED_LINES("\r\n".repeat(40), "", 0, 1024, Reading.ALL),
+  /** Connections over which nothing is sent. */
+  SILENT("", "", 0, 1, Reading.ALL);
 
   /** How much of the responses a client reads. */
   enum Reading {
@@ -95,6 +126,18 @@
         .collect(Collectors.joining());
   }
 
+  private static String parameters(int count) {
+    return IntStream.range(0, count)
+        .mapToObj(index -> "p" + index + "=v")
+        .collect(Collectors.joining("&", "?", ""));
+  }
+
+  private static String longFields(int count) {
+    return IntStream.range(0, count)
+        .mapToObj(index -> "x" + index + ": " + "v".repeat(72) + "\r\n")
+        .collect(Collectors.joining());
+  }
+
   // -- queries
 
   String startFor(String path, String largePath) {
--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
@@ -0,0 +1,167 @@
+package org.parsleycart.daemon.abuse;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.parsleycart.daemon.abuse.SeparateDaemon.Listener;
+import org.parsleycart.daemon.abuse.SeparateDaemon.Timeouts;
+
+/**
+ * Guards against crowds of clients that use up what a daemon has: its heap, its direct memory or
+ * its connections. The crowds are small because the limits of the daemon are lowered.
+ */
+class ClientCrowdTest {
+  private static final int CONNECTIONS = 300;
+  private static final String CONNECTION_LIMIT = ", callerConnections: " + CONNECTIONS;
+  private static final List<String> SMALL_HEAP = List.of("-Xmx32m");
+  private static final List<String> SMALL_DIRECT_MEMORY = List.of("-XX:MaxDirectMemorySize=1m");
+
+  /** The memory of the smallest VM. */
+  private static final long MAXIMUM_RESIDENT_MEGABYTES = 330;
+
+  /** The connections that are allowed, and 200 descriptors for files and control. */
+  private static final long MAXIMUM_DESCRIPTORS = CONNECTIONS + 200;
+
+  private static final int CROWDS = 3;
+
+  /** Ends a test whose daemon has stopped answering. */
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+  /** Where a crowd connects, and the paths that it requests there. */
+  enum Target {
+    ROUTE(Listener.CALLERS, "/read/x"),
+    NO_ROUTE(Listener.CALLERS, "/nowhere/x"),
+    DAEMONS(Listener.DAEMONS, "/read/x"),
+    READINESS(Listener.READINESS, "/parsleycart/ready");
+
+    private final Listener listener;
+    private final String path;
+
+    Target(Listener listener, String path) {
+      this.listener = listener;
+      this.path = path;
+    }
+
+    private AbusiveClients start(AbusiveLoad load, int count, SeparateDaemon daemon)
+        throws IOException {
+      return new AbusiveClients(load, count, daemon.address(listener), path, path);
+    }
+  }
+
+  // -- heap
+
+  /** Guards against a daemon that ends because heads of requests have filled its heap. */
+  @Tag("known-red")
+  @ParameterizedTest
+  @EnumSource(Target.class)
+  void shouldLiveWhenRequestsHaveManyParameters(Target target) throws Exception {
+    checkHeads(AbusiveLoad.MANY_PARAMETERS, target);
+  }
+
+  /** Guards against a daemon that ends because parameters of unfinished heads fill its heap. */
+  @Tag("known-red")
+  @ParameterizedTest
+  @EnumSource(Target.class)
+  void shouldLiveWhenUnfinishedHeadsHaveManyParameters(Target target) throws Exception {
+    checkHeads(AbusiveLoad.UNFINISHED_PARAMETERS, target);
+  }
+
+  /** Guards against a daemon that ends because fields of unfinished heads fill its heap. */
+  @Tag("known-red")
+  @ParameterizedTest
+  @EnumSource(Target.class)
+  void shouldLiveWhenUnfinishedHeadsAreLong(Target target) throws Exception {
+    checkHeads(AbusiveLoad.UNFINISHED_FIELDS, target);
+  }
+
+  private static void checkHeads(AbusiveLoad load, Target target) throws Exception {
+    try (SeparateDaemon daemon = SeparateDaemon.start(SMALL_HEAP, "", Timeouts.SHORT)) {
+      for (int crowd = 0; crowd < CROWDS; crowd++) {
+        try (AbusiveClients clients = target.start(load, 600, daemon)) {
+          clients.awaitEstablished();
+          checkProcess(daemon, 600 + 200);
+        }
+        checkAnswers(daemon);
+      }
+    }
+  }
+
+  // -- direct memory
+
+  /** Guards against I/O threads that wait for direct memory that requests sent ahead hold. */
+  @Tag("known-red")
+  @ParameterizedTest
+  @EnumSource(
+      value = Target.class,
+      names = {"ROUTE", "NO_ROUTE"})
+  void shouldAnswerWhenRequestsAreSentAhead(Target target) throws Exception {
+    try (SeparateDaemon daemon =
+        SeparateDaemon.start(SMALL_DIRECT_MEMORY, CONNECTION_LIMIT, Timeouts.SHORT)) {
+      for (int crowd = 0; crowd < CROWDS; crowd++) {
+        try (AbusiveClients clients = target.start(AbusiveLoad.SENT_AHEAD, 290, daemon)) {
+          clients.awaitEstablished();
+          checkProcess(daemon, MAXIMUM_DESCRIPTORS);
+        }
+        checkAnswers(daemon);
+        checkProcess(daemon, MAXIMUM_DESCRIPTORS);
+      }
+    }
+  }
+
+  // -- connections
+
+  /** Guards against clients that send nothing and keep all others out. */
+  @Tag("known-red")
+  @Test
+  void shouldAnswerBesideConnectionsThatAreSilent() throws Exception {
+    checkBeside(AbusiveLoad.SILENT);
+  }
+
+  /** Guards against clients that send only empty lines and keep all others out. */
+  @ParameterizedTest
+  @EnumSource(
+      value = AbusiveLoad.class,
+      names = {"EMPTY_LINES", "BARE_LINE_FEEDS", "STOPPED_LINES"})
+  void shouldAnswerBesideEmptyLines(AbusiveLoad load) throws Exception {
+    checkBeside(load);
+  }
+
+  /** The clients are as many as the connections that are allowed, and stay while others call. */
+  private static void checkBeside(AbusiveLoad load) throws Exception {
+    try (SeparateDaemon daemon = SeparateDaemon.start(List.of(), CONNECTION_LIMIT, Timeouts.LONG);
+        AbusiveClients clients = Target.ROUTE.start(load, CONNECTIONS + 100, daemon)) {
+      clients.awaitEstablished();
+      checkAnswers(daemon);
+      checkProcess(daemon, MAXIMUM_DESCRIPTORS);
+    }
+  }
+
+  // -- checks
+
+  private static void checkProcess(SeparateDaemon daemon, long maximumDescriptors)
+      throws IOException {
+    assertThat(daemon.isAlive()).as("alive").isTrue();
+    assertThat(daemon.residentMegabytes())
+        .as("resident megabytes")
+        .isLessThan(MAXIMUM_RESIDENT_MEGABYTES);
+    assertThat(daemon.descriptors()).as("descriptors").isLessThan(maximumDescriptors);
+  }
+
+  private static void checkAnswers(SeparateDaemon daemon) {
+    assertThat(daemon.newCallerStatus(daemon.address(Listener.CALLERS), "/read/ordinary", PATIENCE))
+        .as("status of a call")
+        .isEqualTo(200);
+    assertThat(
+            daemon.newCallerStatus(
+                daemon.address(Listener.READINESS), "/parsleycart/ready", PATIENCE))
+        .as("status of readiness")
+        .isEqualTo(200);
+    assertThat(daemon.isAlive()).as("alive").isTrue();
+  }
+}
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/SeparateDaemon.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/SeparateDaemon.java
@@ -42,10 +42,9 @@
              "targetLatencyMs":10000,"priority":1,"service":"one","maxAttempts":1}},
        "services":{
         "one":{"healthPath":"/health","maxConnections":50,"coldStartS":0.0,"coldPerS":1000.0}},
-       "limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":1000,
-                 "idleTimeoutMs":5000}}
-      """
-          .formatted(ORDINARY_DEADLINE.toMillis(), MAXIMUM_BODY_BYTES);
+       "limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":%d,
+                 "idleTimeoutMs":%d}}
+      """;
 
   private static final List<String> FLAGS =
       List.of(
@@ -76,6 +75,17 @@
   private final ScheduledFuture<?> beating;
   private int sequence;
 
+  /**
+   * The timeouts that the configuration gives callers.
+   *
+   * @param header how long the head of a request may take
+   * @param idle how long a connection may be without a request
+   */
+  record Timeouts(Duration header, Duration idle) {
+    static final Timeouts SHORT = new Timeouts(Duration.ofSeconds(1), Duration.ofSeconds(5));
+    static final Timeouts LONG = new Timeouts(Duration.ofMinutes(1), Duration.ofMinutes(1));
+  }
+
   /** The listeners of a daemon, with their index among its ports. */
   enum Listener {
     CALLERS(0),
@@ -93,16 +103,23 @@
 
   // -- construction
 
-  private SeparateDaemon() throws IOException {
-    store.put("op", "config", CONFIGURATION);
+  private SeparateDaemon(List<String> flags, String limits, Timeouts timeouts) throws IOException {
+    store.put(
+        "op",
+        "config",
+        CONFIGURATION.formatted(
+            ORDINARY_DEADLINE.toMillis(),
+            MAXIMUM_BODY_BYTES,
+            timeouts.header().toMillis(),
+            timeouts.idle().toMillis()));
     upstream = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     upstream.setExecutor(upstreamThreads);
     upstream.createContext("/", SeparateDaemon::answer);
     upstream.start();
     ports = FreePorts.find(Listener.values().length);
     settings = Files.createTempFile("daemon", ".yaml");
-    Files.writeString(settings, settingsText());
-    process = new ProcessBuilder(command()).redirectErrorStream(true).start();
+    Files.writeString(settings, settingsText(limits));
+    process = new ProcessBuilder(command(flags)).redirectErrorStream(true).start();
     // Nobody reads the output otherwise, and a full pipe would block the daemon.
     Thread reader = new Thread(this::discardOutput, "daemon-output");
     reader.setDaemon(true);
@@ -112,7 +129,19 @@
 
   /** Starts a daemon and waits until it serves calls. */
   static SeparateDaemon start() throws IOException {
-    SeparateDaemon daemon = new SeparateDaemon();
+    return start(List.of(), "", Timeouts.SHORT);
+  }
+
+  /**
+   * Starts a daemon with lowered limits and waits until it serves calls.
+   *
+   * @param flags flags of the virtual machine that override those of the deployment
+   * @param limits further entries of the section {@code limits} of the settings, each after a comma
+   * @param timeouts the timeouts of callers
+   */
+  static SeparateDaemon start(List<String> flags, String limits, Timeouts timeouts)
+      throws IOException {
+    SeparateDaemon daemon = new SeparateDaemon(flags, limits, timeouts);
     long deadline = System.nanoTime() + MAXIMUM_START.toNanos();
     while (daemon.status(daemon.address(Listener.CALLERS), "/read/ready") != 200) {
       if (System.nanoTime() > deadline) {
@@ -124,10 +153,11 @@
     return daemon;
   }
 
-  private List<String> command() {
+  private List<String> command(List<String> flags) {
     return Stream.of(
             Stream.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()),
             FLAGS.stream(),
+            flags.stream(),
             Stream.of(
                 "-cp",
                 System.getProperty("java.class.path"),
@@ -138,7 +168,7 @@
         .toList();
   }
 
-  private String settingsText() {
+  private String settingsText(String limits) {
     return """
     dialect: platform
     zone: z
@@ -149,7 +179,7 @@
     platform: "%s"
     peerKeys: [test-key-0123456789]
     limits: {trustsSlots: true, inputOutputThreads: 1, maximumBodyBytes: %d,
-             stallTime: 2s, stalledConnections: 4}
+             stallTime: 2s, stalledConnections: 4%s}
     """
         .formatted(
             ports.get(0),
@@ -158,7 +188,8 @@
             ports.get(3),
             ports.get(4),
             store.address(),
-            MAXIMUM_BODY_BYTES);
+            MAXIMUM_BODY_BYTES,
+            limits);
   }
 
   private void discardOutput() {
@@ -238,24 +269,38 @@
    * its deadline. Returns the last status, 0 for no response.
    */
   int ordinaryStatus(String address, String path) {
-    long deadline = System.nanoTime() + ORDINARY_DEADLINE.toNanos();
+    return repeatedStatus(client, address, path, ORDINARY_DEADLINE);
+  }
+
+  /**
+   * Sends a request over a new connection, as an ordinary caller does, until the caller loses its
+   * patience or the daemon has ended. Returns the last status, 0 for no response.
+   */
+  int newCallerStatus(String address, String path, Duration patience) {
+    try (HttpClient newCaller = HttpClient.start(1)) {
+      return repeatedStatus(newCaller, address, path, patience);
+    }
+  }
+
+  private int repeatedStatus(HttpClient caller, String address, String path, Duration patience) {
+    long deadline = System.nanoTime() + patience.toNanos();
     int status = 0;
-    for (long left = ORDINARY_DEADLINE.toNanos();
-        left > 0 && status != 200;
+    for (long left = patience.toNanos();
+        left > 0 && status != 200 && isAlive();
         left = deadline - System.nanoTime()) {
-      status = status(address, path, Duration.ofNanos(left));
+      status = status(caller, address, path, Duration.ofNanos(left));
       LockSupport.parkNanos(Duration.ofMillis(10).toNanos());
     }
     return status;
   }
 
   private int status(String address, String path) {
-    return status(address, path, TIMEOUT);
+    return status(client, address, path, TIMEOUT);
   }
 
-  private int status(String address, String path, Duration timeout) {
+  private static int status(HttpClient caller, String address, String path, Duration timeout) {
     HttpRequest request = HttpRequest.of("GET", path).header(IDENTIFIER_HEADER, "ordinary");
-    return client.send(address, request, timeout).map(response -> response.status()).getOrElse(0);
+    return caller.send(address, request, timeout).map(response -> response.status()).getOrElse(0);
   }
 
   @Override
