Charge the heads of requests to what clients may hold

What callers saw: the process of a daemon ends, its heap full, while a crowd sends whole requests of 4 KB with 500 parameters, or heads with 900 parameters or 190 long fields that stop before their end. No call is answered.

Cause: only bodies were accounted for, 16 MiB for each of three groups of listeners, together three quarters of the heap. A parsed parameter takes some 300 bytes of heap for its 6 on the wire, and nothing counted heads, neither while they arrive nor while their request waits.

Change: MemoryBudget divides what clients may hold, a quarter of the heap, between the groups of listeners; each has a guaranteed eighth. HeadCost estimates the heap of a head while its bytes arrive, before the server parses them; an account of each connection charges heads, bodies and bytes read ahead to the budget. What exceeds it is refused with 503 before anything ran, or closed if its head is not complete. The parameters that the server has parsed are discarded where no handler needs them, before the request waits. Bytes read ahead keep no more memory than there are bytes, instead of 4 KiB for each call.

limits.heldBytes takes the place of limits.heldBodyBytes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ConnectionGuards.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ConnectionGuards.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import org.parsleycart.daemon.call.ConnectionGuard;
 import org.parsleycart.daemon.settings.ProtectionSettings;
+import org.parsleycart.decision.protection.MemoryBudget;
 
 /**
  * The accounts of the connections to each group of listeners. A group that is full takes no
@@ -18,19 +19,25 @@
 record ConnectionGuards(
     ConnectionGuard callers, ConnectionGuard daemons, ConnectionGuard operators) {
 
+  /** Each group is guaranteed this part of what clients may hold, whatever the others hold. */
+  private static final int GUARANTEED_PARTS = 8;
+
   // -- construction
 
   static ConnectionGuards create(
       ProtectionSettings settings, Telemetry telemetry, InstantSource clock) {
+    MemoryBudget heap = new MemoryBudget(settings.heldBytes());
     return new ConnectionGuards(
-        guard("callers", settings.callerConnections(), settings, telemetry, clock),
-        guard("daemons", settings.daemonConnections(), settings, telemetry, clock),
-        guard("operators", settings.operatorConnections(), settings, telemetry, clock));
+        guard("callers", settings.callerConnections(), false, heap, settings, telemetry, clock),
+        guard("daemons", settings.daemonConnections(), false, heap, settings, telemetry, clock),
+        guard("operators", settings.operatorConnections(), true, heap, settings, telemetry, clock));
   }
 
   private static ConnectionGuard guard(
       String name,
       int maximumConnections,
+      boolean needsParameters,
+      MemoryBudget heap,
       ProtectionSettings settings,
       Telemetry telemetry,
       InstantSource clock) {
@@ -40,6 +47,8 @@
             maximumConnections,
             settings.pipelinedRequests(),
             settings.limits(),
+            heap.addShare(settings.heldBytes() / GUARANTEED_PARTS),
+            needsParameters,
             clock,
             telemetry.callLog());
     register(telemetry.registry(), name, guard);
@@ -60,6 +69,10 @@
     FunctionCounter.builder("parsleycart.connections.closed", guard, ConnectionGuard::closedCount)
         .tag("listener", name)
         .register(registry);
+    FunctionCounter.builder(
+            "parsleycart.requests.refused.memory", guard, ConnectionGuard::refusedRequestCount)
+        .tag("listener", name)
+        .register(registry);
     FunctionCounter.builder("parsleycart.connections.refused", guard, ConnectionGuard::refusedCount)
         .tag("listener", name)
         .register(registry);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/Daemon.java
@@ -4,13 +4,16 @@
 
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
+import org.parsleycart.daemon.call.AdmissionHandler;
 import org.parsleycart.daemon.call.CallServer;
 import org.parsleycart.daemon.call.ConnectionPools;
 import org.parsleycart.daemon.control.UsageWorker;
+import org.parsleycart.daemon.operator.OperatorHandler;
 import org.parsleycart.daemon.settings.DaemonSettings;
 import org.parsleycart.daemon.settings.ListenAddresses;
 import org.parsleycart.decision.admission.RefusalReason;
@@ -71,17 +74,35 @@
     server.listen(
         addresses.callers(),
         components.entryHandler(),
+        components.entryRefusal(),
         guards.callers(),
         () -> components.state().configuration().callerLimits());
-    server.listen(addresses.daemons(), components.admissionHandler(), guards.daemons());
-    server.listen(addresses.operators(), components.operatorHandler(), guards.operators());
+    server.listen(
+        addresses.daemons(),
+        components.admissionHandler(),
+        AdmissionHandler::refuseForMemory,
+        guards.daemons());
+    listenForOperators(server, addresses.operators(), components, guards);
     if (addresses.readiness().isPresent()) {
-      server.listen(addresses.readiness().get(), components.operatorHandler(), guards.operators());
+      listenForOperators(server, addresses.readiness().get(), components, guards);
     }
     Logger.info("started in zone {} as {}", settings.zone(), settings.identifier());
     return daemon;
   }
 
+  private static void listenForOperators(
+      CallServer server,
+      InetSocketAddress address,
+      DaemonComponents components,
+      ConnectionGuards guards)
+      throws IOException {
+    server.listen(
+        address,
+        components.operatorHandler(),
+        OperatorHandler::refuseForMemory,
+        guards.operators());
+  }
+
   // -- settings
 
   /** Applies the settings that can change while the daemon runs: the service next to it. */
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -69,6 +69,7 @@
  * @param departures stores the departures of the upstreams next to the daemon
  * @param usageWorker takes part in the usage duty, empty if the settings do not ask for it
  * @param entryHandler handles calls from callers
+ * @param entryRefusal refuses calls from callers for which there is no memory
  * @param admissionHandler handles calls from other daemons
  * @param operatorHandler handles requests of operators
  */
@@ -84,6 +85,7 @@
     DepartureRegister departures,
     Optional<UsageWorker> usageWorker,
     HttpHandler entryHandler,
+    HttpHandler entryRefusal,
     HttpHandler admissionHandler,
     HttpHandler operatorHandler) {
   private static final Duration IDEMPOTENCY_KEY_RETENTION = Duration.ofMinutes(10);
@@ -121,6 +123,7 @@
         entryDependencies(
             settings, dialect, state, control, loads, admission, forwarder, signer, telemetry);
     CallsInProgress callsInProgress = new CallsInProgress();
+    EntryHandler entryHandler = new EntryHandler(entryDependencies);
     DepartureRegister departures = departures(settings, state, control, upstreams, clock);
     DaemonMetrics.register(
         telemetry.registry(),
@@ -141,7 +144,8 @@
         rolloutWorker(state, control, changeAcceptor, localEvidence),
         departures,
         UsageComponents.worker(settings, control, localUsage, telemetry.registry(), state),
-        callsInProgress.countingHandler(new EntryHandler(entryDependencies)),
+        callsInProgress.countingHandler(entryHandler),
+        entryHandler::refuseForMemory,
         admissionHandler(settings, state, admission, signer, telemetry, entryDependencies, clock),
         new UpstreamLifecycleHandler(
             dialect,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -116,6 +116,15 @@
         cause -> closeConnection(exchange, span));
   }
 
+  /** Refuses a call that has not run, because clients hold too much memory already. */
+  public static void refuseForMemory(HttpServerExchange exchange) {
+    MeshResponses.sendToDaemon(
+        exchange,
+        header(exchange, CallHeaders.REQUEST_IDENTIFIER),
+        AttemptOutcome.NOT_RUN,
+        RefusalReason.MEMORY_FULL.toString());
+  }
+
   private void submit(LocalCall call, CallTracing.CallSpan span) {
     Cancellation cancellation = call.cancellation();
     if (call.body().isReplayable()) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
@@ -112,22 +112,26 @@
   /**
    * Accepts connections at an address.
    *
+   * @param refusal answers the requests for which there is no memory
    * @throws IOException if the address cannot be bound
    */
-  public void listen(InetSocketAddress address, HttpHandler handler, ConnectionGuard guard)
+  public void listen(
+      InetSocketAddress address, HttpHandler handler, HttpHandler refusal, ConnectionGuard guard)
       throws IOException {
-    listen(address, handler, guard, openListener -> {});
+    listen(address, handler, refusal, guard, openListener -> {});
   }
 
   /**
    * Accepts connections of callers at an address.
    *
+   * @param refusal answers the requests for which there is no memory
    * @param limits supplies the limits of each new connection when it is accepted
    * @throws IOException if the address cannot be bound
    */
   public void listen(
       InetSocketAddress address,
       HttpHandler handler,
+      HttpHandler refusal,
       ConnectionGuard guard,
       Supplier<CallerLimits> limits)
       throws IOException {
@@ -135,6 +139,7 @@
     listen(
         address,
         handler,
+        refusal,
         guard,
         openListener -> openListener.setUndertowOptions(optionsFor(limits.get())));
   }
@@ -142,11 +147,12 @@
   private void listen(
       InetSocketAddress address,
       HttpHandler handler,
+      HttpHandler refusal,
       ConnectionGuard guard,
       Consumer<HttpOpenListener> beforeOpen)
       throws IOException {
     HttpOpenListener openListener = new HttpOpenListener(buffers, serverOptions);
-    openListener.setRootHandler(guard.guard(requireNonNull(handler, "handler is null")));
+    openListener.setRootHandler(guard.guard(handler, refusal));
     ChannelListener<StreamConnection> acceptListener =
         connection -> {
           if (guard.accept(connection)) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionGuard.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionGuard.java
@@ -2,10 +2,12 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -19,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.parsleycart.daemon.report.CallLog;
 import org.parsleycart.decision.protection.ConnectionUsage;
+import org.parsleycart.decision.protection.MemoryBudget;
 import org.parsleycart.decision.protection.ProtectionLimits;
 import org.parsleycart.decision.protection.ProtectionRule;
 import org.parsleycart.model.document.Document;
@@ -49,13 +52,15 @@
   private final int maximumConnections;
   private final ProtectionRule rule;
   private final PipelineGate pipelineGate;
-  private final HeldBytes bodies;
+  private final MemoryBudget.Share heap;
+  private final boolean needsParameters;
   private final InstantSource clock;
   private final CallLog log;
   private final Set<GuardedConnection> connections = ConcurrentHashMap.newKeySet();
   private final Set<GuardedConnection> closing = ConcurrentHashMap.newKeySet();
   private final AtomicLong closedCount = new AtomicLong();
   private final AtomicLong refusedCount = new AtomicLong();
+  private final AtomicLong refusedRequestCount = new AtomicLong();
   private volatile long heldBytes;
   private Instant sweptAt;
 
@@ -67,18 +72,23 @@
    * @param name the name of the group in logs and metrics
    * @param maximumConnections how many connections may be open at once
    * @param maximumPipelined how many pipelined requests may be handled at once
+   * @param heap the heap that the connections may hold
+   * @param needsParameters whether requests are handled by their parsed parameters
    */
   public ConnectionGuard(
       String name,
       int maximumConnections,
       int maximumPipelined,
       ProtectionLimits limits,
+      MemoryBudget.Share heap,
+      boolean needsParameters,
       InstantSource clock,
       CallLog log) {
+    this.needsParameters = needsParameters;
     this.name = requireNonNull(name, "name is null");
     this.maximumConnections = maximumConnections;
     this.rule = new ProtectionRule(limits);
-    this.bodies = new HeldBytes(limits.heldBytes());
+    this.heap = requireNonNull(heap, "heap is null");
     this.pipelineGate = new PipelineGate(maximumPipelined);
     this.clock = requireNonNull(clock, "clock is null");
     this.log = requireNonNull(log, "log is null");
@@ -113,7 +123,12 @@
   }
 
   private boolean add(StreamConnection connection) {
-    GuardedConnection guarded = GuardedConnection.install(connection, bodies, clock.instant());
+    GuardedConnection guarded =
+        GuardedConnection.install(
+            connection,
+            new ConnectionAccount(heap),
+            cause -> recordClosed(connection, cause, 0),
+            clock.instant());
     return connections.add(guarded);
   }
 
@@ -140,43 +155,64 @@
 
   private synchronized Map<GuardedConnection, ConnectionUsage> measure() {
     // The close listener of a connection belongs to the server.
-    connections.removeIf(each -> !each.connection().isOpen());
-    closing.removeIf(each -> !each.connection().isOpen());
+    connections.removeIf(ConnectionGuard::isReleased);
+    closing.removeIf(ConnectionGuard::isReleased);
     Instant now = clock.instant();
     Map<GuardedConnection, ConnectionUsage> usages = new HashMap<>();
     connections.forEach(each -> usages.put(each, each.usage(now)));
     return usages;
   }
 
+  private static boolean isReleased(GuardedConnection guarded) {
+    boolean isClosed = !guarded.connection().isOpen();
+    if (isClosed) {
+      guarded.release();
+    }
+    return isClosed;
+  }
+
   private void close(GuardedConnection guarded, String cause, long stalledMilliseconds) {
     closing.add(guarded);
     connections.remove(guarded);
-    closedCount.incrementAndGet();
-    logClosed(guarded.connection(), cause, stalledMilliseconds);
+    recordClosed(guarded.connection(), cause, stalledMilliseconds);
     guarded.connection().getIoThread().execute(guarded::abort);
   }
 
+  private void recordClosed(StreamConnection connection, String cause, long stalledMilliseconds) {
+    closedCount.incrementAndGet();
+    logClosed(connection, cause, stalledMilliseconds);
+  }
+
   private void logClosed(StreamConnection connection, String cause, long stalledMilliseconds) {
-    InetSocketAddress client = connection.getPeerAddress(InetSocketAddress.class);
+    Optional<InetSocketAddress> client =
+        Optional.ofNullable(connection.getPeerAddress(InetSocketAddress.class));
     log.write(
         "connection-closed",
         "",
-        Document.mapping()
-            .with("listener", name)
-            .with("cause", cause)
-            .with("client", client == null ? "" : client.getAddress().getHostAddress())
-            .with("stalledMs", stalledMilliseconds));
+        lineOf(client).with("cause", cause).with("stalledMs", stalledMilliseconds));
+  }
+
+  private Document.MappingBuilder lineOf(Optional<InetSocketAddress> client) {
+    return Document.mapping()
+        .with("listener", name)
+        .with("client", client.map(each -> each.getAddress().getHostAddress()).orElse(""));
   }
 
   // -- requests
 
-  /** Returns a handler that accounts for each request and delegates to another. */
-  HttpHandler guard(HttpHandler next) {
+  /**
+   * Returns a handler that accounts for each request and delegates to another.
+   *
+   * @param refusal answers the requests for which there is no memory
+   */
+  HttpHandler guard(HttpHandler next, HttpHandler refusal) {
     requireNonNull(next, "next is null");
-    return exchange -> handle(exchange, next);
+    requireNonNull(refusal, "refusal is null");
+    return exchange -> handle(exchange, next, refusal);
   }
 
-  private void handle(HttpServerExchange exchange, HttpHandler next) throws Exception {
+  private void handle(HttpServerExchange exchange, HttpHandler next, HttpHandler refusal)
+      throws Exception {
     Optional<GuardedConnection> guarded = DisconnectDetectingConduit.guardOf(exchange);
     if (guarded.isEmpty()) {
       next.handleRequest(exchange);
@@ -185,24 +221,45 @@
     boolean isPipelined = guarded.get().begin(exchange);
     exchange.addExchangeCompleteListener(
         (completed, nextListener) -> {
-          guarded.get().end(hasMore(completed));
+          Optional<ByteBuffer> parsed = parsedOfNext(completed);
+          guarded.get().end(parsed.isPresent() || hasReadAhead(completed), parsed);
           nextListener.proceed();
         });
-    if (isPipelined) {
+    if (!needsParameters) {
+      RequestHeads.discardParameters(exchange);
+    }
+    if (!guarded.get().tryHoldRequest(exchange)) {
+      refuse(exchange, refusal);
+    } else if (isPipelined) {
       pipelineGate.handle(exchange, next);
     } else {
       next.handleRequest(exchange);
     }
   }
 
-  private static boolean hasMore(HttpServerExchange exchange) {
-    boolean hasParsed =
-        exchange.getConnection() instanceof AbstractServerConnection connection
-            && connection.getExtraBytes() != null;
-    return hasParsed
-        || DisconnectDetectingConduit.of(exchange)
-            .filter(DisconnectDetectingConduit::hasBuffered)
-            .isPresent();
+  /** Refuses a request, and closes its connection, which may hold more than the request. */
+  private void refuse(HttpServerExchange exchange, HttpHandler refusal) throws Exception {
+    RequestHeads.discardParameters(exchange);
+    exchange.setPersistent(false);
+    refusedRequestCount.incrementAndGet();
+    log.write("request-refused", "", lineOf(clientOf(exchange)).with("cause", "memory"));
+    refusal.handleRequest(exchange);
+  }
+
+  private static Optional<ByteBuffer> parsedOfNext(HttpServerExchange exchange) {
+    return exchange.getConnection() instanceof AbstractServerConnection connection
+        ? Optional.ofNullable(connection.getExtraBytes()).map(PooledByteBuffer::getBuffer)
+        : Optional.empty();
+  }
+
+  private static boolean hasReadAhead(HttpServerExchange exchange) {
+    return DisconnectDetectingConduit.of(exchange)
+        .filter(DisconnectDetectingConduit::hasBuffered)
+        .isPresent();
+  }
+
+  private static Optional<InetSocketAddress> clientOf(HttpServerExchange exchange) {
+    return Optional.ofNullable(exchange.getConnection().getPeerAddress(InetSocketAddress.class));
   }
 
   // -- queries
@@ -227,6 +284,11 @@
     return refusedCount.get();
   }
 
+  /** Returns how many requests have been refused because too much was held. */
+  public long refusedRequestCount() {
+    return refusedRequestCount.get();
+  }
+
   /** Returns the number of pipelined requests that wait for their turn. */
   public int waitingPipelinedCount() {
     return pipelineGate.waitingCount();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
@@ -122,8 +122,7 @@
       next.suspendReads();
       return;
     }
-    ByteBuffer buffer = ByteBuffer.allocate(READ_AHEAD_BYTES + buffered.remaining());
-    buffer.put(buffered);
+    ByteBuffer buffer = ByteBuffer.allocate(READ_AHEAD_BYTES);
     try {
       int count = next.read(buffer);
       isEnded = count < 0;
@@ -131,14 +130,26 @@
       // A reset is handled like a close.
       isEnded = true;
     }
-    buffer.flip();
-    buffered = buffer;
+    append(buffer.flip());
     if (isEnded) {
       next.suspendReads();
       notifyDisconnect();
     }
   }
 
+  /** Keeps no more memory than there are bytes, since most connections never have any. */
+  private void append(ByteBuffer read) {
+    if (read.hasRemaining()) {
+      ByteBuffer joined = ByteBuffer.allocate(buffered.remaining() + read.remaining());
+      buffered = joined.put(buffered).put(read).flip();
+      recordBuffered();
+    }
+  }
+
+  private void recordBuffered() {
+    guarded.ifPresent(account -> account.setReadAhead(buffered.remaining()));
+  }
+
   private void notifyDisconnect() {
     Optional<Runnable> task = disconnectTask;
     disconnectTask = Optional.empty();
@@ -152,8 +163,13 @@
     if (buffered.hasRemaining()) {
       int count = Math.min(buffered.remaining(), target.remaining());
       ByteBuffer part = buffered.slice(buffered.position(), count);
+      int start = target.position();
       target.put(part);
       buffered.position(buffered.position() + count);
+      recordBuffered();
+      if (guarded.isPresent()) {
+        guarded.get().recordRead(target, start, count);
+      }
       return count;
     }
     return isEnded ? -1 : next.read(target);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -91,6 +91,15 @@
     new EntryCall(dependencies, exchange, request, span).start();
   }
 
+  /** Refuses a call that has not run, because clients hold too much memory already. */
+  public void refuseForMemory(HttpServerExchange exchange) {
+    refuse(
+        exchange,
+        requestIdentifierOf(exchange),
+        RefusalReason.MEMORY_FULL,
+        dependencies.clock().instant());
+  }
+
   private CallTracing.CallSpan startSpan(
       HttpServerExchange exchange, String identifier, Route route) {
     Optional<String> parent =
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/GuardedConnection.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/GuardedConnection.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.parsleycart.decision.protection.ConnectionUsage;
 import org.parsleycart.decision.protection.ConnectionUsage.Phase;
 import org.parsleycart.link.http.TurnConduit;
@@ -58,10 +59,10 @@
   private final StreamConnection connection;
   private final TurnConduit turn;
   private final ProgressSinkConduit sink;
-  private final HeldBytes heldBytes;
+  private final ConnectionAccount account;
+  private final Consumer<String> onRefused;
   private final HeadMeter head = new HeadMeter();
   private volatile Optional<HttpServerExchange> exchange = Optional.empty();
-  private volatile long bufferedBytes;
   private boolean isNextPipelined;
   private long progressBytes;
   private Instant progressAt;
@@ -73,23 +74,34 @@
       StreamConnection connection,
       TurnConduit turn,
       ProgressSinkConduit sink,
-      HeldBytes heldBytes,
+      ConnectionAccount account,
+      Consumer<String> onRefused,
       Instant now) {
-    this.heldBytes = heldBytes;
+    this.account = account;
+    this.onRefused = onRefused;
     this.connection = connection;
     this.turn = turn;
     this.sink = sink;
     this.progressAt = now;
   }
 
-  /** Installs the measurement of progress and the bound of turns on a new connection. */
-  static GuardedConnection install(StreamConnection connection, HeldBytes heldBytes, Instant now) {
+  /**
+   * Installs the measurement of progress and the bound of turns on a new connection.
+   *
+   * @param onRefused receives the cause when the connection fails while it reads a head
+   */
+  static GuardedConnection install(
+      StreamConnection connection,
+      ConnectionAccount account,
+      Consumer<String> onRefused,
+      Instant now) {
     GuardedConnection guarded =
         new GuardedConnection(
             connection,
             TurnConduit.install(connection, HEAD_TURN_BYTES),
             ProgressSinkConduit.install(connection),
-            heldBytes,
+            account,
+            onRefused,
             now);
     guarded.turn.setReadListener(guarded::recordRead);
     DisconnectDetectingConduit.install(connection, guarded);
@@ -98,12 +110,22 @@
 
   // -- events
 
-  private void recordRead(ByteBuffer buffer, int start, int count) throws IOException {
+  /**
+   * Charges what has been read between two requests to the next one.
+   *
+   * @throws IOException if its head is too long, or if too much is held already
+   */
+  void recordRead(ByteBuffer buffer, int start, int count) throws IOException {
     if (exchange.isEmpty()) {
-      head.record(count);
+      head.record(buffer, start, count);
       if (head.bytes() > MAXIMUM_HEAD_BYTES) {
+        onRefused.accept("head");
         throw new IOException("connection closed: the head of its request has no end");
       }
+      if (!account.tryHoldHead(head.heapBytes())) {
+        onRefused.accept("memory");
+        throw new IOException("connection closed: too much is held for clients");
+      }
     }
   }
 
@@ -119,20 +141,45 @@
     return isNextPipelined;
   }
 
+  /** Charges a request whose head is complete. Returns whether it may be handled. */
+  boolean tryHoldRequest(HttpServerExchange begun) {
+    return account.tryHoldHead(RequestHeads.heapBytes(begun));
+  }
+
   /**
    * Records that an exchange is complete.
    *
    * @param hasMore whether bytes of the next request have been read already
+   * @param parsed what the server has read already of the next request
    */
-  void end(boolean hasMore) {
+  void end(boolean hasMore, Optional<ByteBuffer> parsed) {
     exchange = Optional.empty();
-    heldBytes.release(bufferedBytes);
-    bufferedBytes = 0;
+    account.endRequest();
     isNextPipelined = hasMore;
+    parsed.ifPresent(this::recordParsed);
     turn.setBytesPerTurn(HEAD_TURN_BYTES);
     turn.countLines(false);
   }
 
+  private void recordParsed(ByteBuffer parsed) {
+    try {
+      recordRead(parsed, parsed.position(), parsed.remaining());
+    } catch (IOException e) {
+      // The server would go on with the bytes that it has.
+      IoUtils.safeClose(connection);
+    }
+  }
+
+  /** Records the bytes that have been read ahead of the server. */
+  void setReadAhead(int bytes) {
+    account.setReadAhead(bytes);
+  }
+
+  /** Releases all that the connection holds, once it is closed. */
+  void release() {
+    account.close();
+  }
+
   /**
    * Ends the request in progress, and closes the connection. Reads and writes fail from now on, so
    * that what transfers a body notices it as if the client had reset the connection, and ends the
@@ -160,9 +207,7 @@
    * if all connections together hold too much.
    */
   boolean tryHoldBody(long bytes) {
-    boolean isHeld = heldBytes.tryHold(bytes);
-    bufferedBytes = isHeld ? bytes : 0;
-    return isHeld;
+    return account.tryHoldBody(bytes);
   }
 
   /** Counts the time without progress from now on. */
@@ -192,7 +237,7 @@
       progressAt = now;
     }
     lastPhase = phase;
-    long held = bufferedBytes + (phase.isClientAwaited() ? TRANSFER_BYTES : 0);
+    long held = account.heldBytes() + (phase.isClientAwaited() ? TRANSFER_BYTES : 0);
     return new ConnectionUsage(phase, held, Duration.between(progressAt, now));
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
@@ -121,6 +121,11 @@
         status -> send(exchange, refusal(status)));
   }
 
+  /** Refuses a request that has not run, because clients hold too much memory already. */
+  public static void refuseForMemory(HttpServerExchange exchange) {
+    send(exchange, refusal(StatusCodes.SERVICE_UNAVAILABLE));
+  }
+
   private static void send(HttpServerExchange exchange, OperatorResponse response) {
     exchange.setStatusCode(response.status());
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, response.contentType());
@@ -132,8 +137,7 @@
         switch (status) {
           case StatusCodes.REQUEST_ENTITY_TOO_LARGE ->
               "request body exceeds " + MAXIMUM_BODY_BYTES + " bytes";
-          case StatusCodes.SERVICE_UNAVAILABLE ->
-              "too many request bodies are held in memory; try again later";
+          case StatusCodes.SERVICE_UNAVAILABLE -> "clients hold too much memory; try again later";
           default -> "request body could not be read completely";
         };
     return OperatorResponse.error(status, message, List.of());
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ProtectionSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ProtectionSettings.java
@@ -15,7 +15,8 @@
  * @param operatorConnections the connections to the addresses for operators and readiness
  * @param pipelinedRequests how many pipelined requests are handled at once
  * @param headerFields the fields of a request
- * @param heldBodyBytes the bytes of bodies held in memory for one group of listeners
+ * @param heldBytes the heap that heads and bodies of requests, and responses that the daemon makes
+ *     itself, may occupy together for all clients, in bytes
  * @param stallTime how long a client may be without progress when many are
  * @param maximumStallTime how long a client may be without progress
  * @param stalledConnections how many clients may be without progress for the stall time
@@ -27,7 +28,7 @@
     int operatorConnections,
     int pipelinedRequests,
     int headerFields,
-    long heldBodyBytes,
+    long heldBytes,
     Duration stallTime,
     Duration maximumStallTime,
     int stalledConnections) {
@@ -58,7 +59,7 @@
             number(reader, "operatorConnections", 1, 1_000_000, 500),
             number(reader, "pipelinedRequests", 1, 10_000, 32),
             number(reader, "headerFields", 1, 10_000, 200),
-            reader.number("heldBodyBytes", 1, 1024 * MEBIBYTE).orElse(16 * MEBIBYTE),
+            reader.number("heldBytes", MEBIBYTE, 1024 * MEBIBYTE).orElseGet(HeldMemory::heapBytes),
             reader.duration("stallTime").orElse(DEFAULT_STALL_TIME),
             reader.duration("maximumStallTime").orElse(Duration.ofSeconds(15)),
             number(reader, "stalledConnections", 0, 1_000_000, 16));
@@ -91,6 +92,6 @@
 
   /** Returns the limits of the rule that decides which connections are closed. */
   public ProtectionLimits limits() {
-    return new ProtectionLimits(stallTime, maximumStallTime, stalledConnections, heldBodyBytes);
+    return new ProtectionLimits(stallTime, maximumStallTime, stalledConnections, heldBytes / 2);
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/RefusalReason.java
@@ -18,6 +18,8 @@
   ISOLATED("isolated", 503),
   /** The daemon is short of processor time and would answer too late. */
   OVERLOADED("overloaded", 503),
+  /** Clients hold all the memory that the daemon has for them. */
+  MEMORY_FULL("memory-full", 503),
   QUEUE_FULL("queue-full", 503),
   COLD("cold", 503, true),
   /** More calls arrive than the upstream has stated to take in a second. */
