--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/operator/OperatorHandler.java
@@ -19,6 +19,10 @@
 /** Dispatches each request to an action by its method and path, and writes the response. */
 public final class OperatorHandler implements HttpHandler {
   private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
+
+  /** A response is in memory as text and as bytes until its client has read it. */
+  private static final long RESPONSE_COPIES = 2;
+
   private static final String WILDCARD = "*";
 
   private final List<Action> actions;
@@ -127,6 +131,11 @@
   }
 
   private static void send(HttpServerExchange exchange, OperatorResponse response) {
+    if (!BodyReceiver.tryHold(exchange, RESPONSE_COPIES * response.body().length())) {
+      exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
+      exchange.endExchange();
+      return;
+    }
     exchange.setStatusCode(response.status());
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, response.contentType());
     exchange.getResponseSender().send(response.body());
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
@@ -44,7 +44,8 @@
     ROUTE(Listener.CALLERS, "/read/x"),
     NO_ROUTE(Listener.CALLERS, "/nowhere/x"),
     DAEMONS(Listener.DAEMONS, "/read/x"),
-    READINESS(Listener.READINESS, "/parsleycart/ready");
+    READINESS(Listener.READINESS, "/parsleycart/ready"),
+    OPERATORS(Listener.OPERATORS, "/metrics");
 
     private final Listener listener;
     private final String path;
@@ -64,25 +65,51 @@
 
   /** Guards against a daemon that ends because heads of requests have filled its heap. */
   @ParameterizedTest
-  @EnumSource(Target.class)
+  @EnumSource(
+      value = Target.class,
+      names = {"ROUTE", "NO_ROUTE", "DAEMONS", "READINESS"})
   void shouldLiveWhenRequestsHaveManyParameters(Target target) throws Exception {
     checkHeads(AbusiveLoad.MANY_PARAMETERS, target);
   }
 
   /** Guards against a daemon that ends because parameters of unfinished heads fill its heap. */
   @ParameterizedTest
-  @EnumSource(Target.class)
+  @EnumSource(
+      value = Target.class,
+      names = {"ROUTE", "NO_ROUTE", "DAEMONS", "READINESS"})
   void shouldLiveWhenUnfinishedHeadsHaveManyParameters(Target target) throws Exception {
     checkHeads(AbusiveLoad.UNFINISHED_PARAMETERS, target);
   }
 
   /** Guards against a daemon that ends because fields of unfinished heads fill its heap. */
   @ParameterizedTest
-  @EnumSource(Target.class)
+  @EnumSource(
+      value = Target.class,
+      names = {"ROUTE", "NO_ROUTE", "DAEMONS", "READINESS"})
   void shouldLiveWhenUnfinishedHeadsAreLong(Target target) throws Exception {
     checkHeads(AbusiveLoad.UNFINISHED_FIELDS, target);
   }
 
+  /** Guards against responses of the daemon itself that fill its heap while nobody reads them. */
+  @Test
+  void shouldLiveWhenResponsesToOperatorsAreNotRead() throws Exception {
+    checkHeads(AbusiveLoad.UNREAD_RESPONSES, Target.OPERATORS);
+  }
+
+  /** Guards against the refusal of each body of unknown length, however short it is. */
+  @Test
+  void shouldServeOperatorWhenLengthOfBodyIsUnknown() throws Exception {
+    try (SeparateDaemon daemon = SeparateDaemon.start(SMALL_HEAP, "", Timeouts.SHORT)) {
+      String answer =
+          daemon.answerTo(
+              Listener.OPERATORS,
+              "GET /status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                  + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+
+      assertThat(answer).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
   private static void checkHeads(AbusiveLoad load, Target target) throws Exception {
     try (SeparateDaemon daemon = SeparateDaemon.start(SMALL_HEAP, "", Timeouts.SHORT)) {
       for (int crowd = 0; crowd < CROWDS; crowd++) {
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/SeparateDaemon.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/SeparateDaemon.java
@@ -6,6 +6,8 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -17,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
+import org.parsleycart.link.Addresses;
 import org.parsleycart.link.FreePorts;
 import org.parsleycart.link.http.HttpClient;
 import org.parsleycart.link.http.HttpRequest;
@@ -303,6 +306,16 @@
     return caller.send(address, request, timeout).map(response -> response.status()).getOrElse(0);
   }
 
+  /** Sends bytes over a new connection, and returns all that comes back until it is closed. */
+  String answerTo(Listener listener, String bytes) throws IOException {
+    InetSocketAddress target = Addresses.parse(address(listener)).orElseThrow();
+    try (Socket socket = new Socket(target.getAddress(), target.getPort())) {
+      socket.setSoTimeout((int) TIMEOUT.toMillis());
+      socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
   @Override
   public void close() throws IOException {
     beating.cancel(true);
