Take a response for an answer only if its status is that of a final response

What callers saw (MIXED): a server in trouble sends an answer with status 000 and a reason, and the caller gets it as `answered`, for reads and for writes, on kept and on closed connections. So do 007, 099, 600 and 999; 1000 gets the caller's connection closed without an answer.

Cause: the status of a response was never looked at. The HTTP client takes any number, and the server throws on one of four digits when it is to send it on.

Change: a response whose status is not from 200 to 599 is unusable, like one that belongs to another request: the outcome is unknown, the connection is closed, a read may be tried elsewhere, a write is reported as 502. The check stands where all responses of upstreams and of other daemons pass.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -171,7 +171,8 @@
     boolean isFramingAccepted =
         attempt.hop().allowsUnframedResponse()
             || ResponseFraming.isFramed(attempt.exchange(), response);
-    if (belongsToAnotherRequest(response) || !isFramingAccepted) {
+    boolean isUsable = isFramingAccepted && ResponseFraming.isFinal(response);
+    if (belongsToAnotherRequest(response) || !isUsable) {
       endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, Fault.UNUSABLE));
       return;
     }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
@@ -17,10 +17,21 @@
  * tell it from a complete one.
  */
 final class ResponseFraming {
+  private static final int MAXIMUM_STATUS = 599;
+
   private ResponseFraming() {}
 
   // -- queries
 
+  /**
+   * Returns whether the status is that of a final response (RFC 9110, section 15). Any other number
+   * says nothing about what became of the request.
+   */
+  static boolean isFinal(ClientResponse response) {
+    int status = response.getResponseCode();
+    return status >= StatusCodes.OK && status <= MAXIMUM_STATUS;
+  }
+
   /** Returns whether the response has no body, or has headers that show where its body ends. */
   static boolean isFramed(HttpServerExchange exchange, ClientResponse response) {
     return !hasBody(exchange, response.getResponseCode())
