--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestHeads.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestHeads.java
@@ -13,7 +13,8 @@
 
   /** Returns the estimated heap in bytes that the head of a request occupies. */
   static long heapBytes(HttpServerExchange exchange) {
-    long bytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
+    long bytes = exchange.getRequestURI().length();
+    bytes += exchange.getQueryString().length();
     long fields = 0;
     for (HeaderValues values : exchange.getRequestHeaders()) {
       fields += values.size();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/HeldMemory.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/HeldMemory.java
@@ -42,6 +42,6 @@
   private static long bytes(String size) {
     int unit = UNITS.indexOf(size.charAt(size.length() - 1));
     String number = unit < 0 ? size : size.substring(0, size.length() - 1);
-    return Long.parseLong(number) << BITS_PER_UNIT * (unit + 1);
+    return Long.parseLong(number) << (BITS_PER_UNIT * (unit + 1));
   }
 }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
@@ -103,8 +103,18 @@
       String answer =
           daemon.answerTo(
               Listener.OPERATORS,
-              "GET /status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-                  + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+              """
+              GET /status HTTP/1.1
+              Host: a
+              Connection: close
+              Transfer-Encoding: chunked
+
+              3
+              abc
+              0
+
+              """
+                  .replace("\n", "\r\n"));
 
       assertThat(answer).startsWith("HTTP/1.1 200 ");
     }
