--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ConnectionGuards.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/ConnectionGuards.java
@@ -26,60 +26,42 @@
 
   static ConnectionGuards create(
       ProtectionSettings settings, Telemetry telemetry, InstantSource clock) {
-    MemoryBudget heap = new MemoryBudget(settings.heldBytes());
-    MemoryBudget buffers = new MemoryBudget(settings.bufferBytes());
-    return new ConnectionGuards(
-        guard(
-            "callers",
-            settings.callerConnections(),
-            false,
-            heap,
-            buffers,
-            settings,
-            telemetry,
-            clock),
-        guard(
-            "daemons",
-            settings.daemonConnections(),
-            false,
-            heap,
-            buffers,
-            settings,
-            telemetry,
-            clock),
-        guard(
-            "operators",
-            settings.operatorConnections(),
-            true,
-            heap,
-            buffers,
+    Groups groups =
+        new Groups(
             settings,
+            new MemoryBudget(settings.heldBytes()),
+            new MemoryBudget(settings.bufferBytes()),
             telemetry,
-            clock));
+            clock);
+    return new ConnectionGuards(
+        groups.add("callers", settings.callerConnections(), false),
+        groups.add("daemons", settings.daemonConnections(), false),
+        groups.add("operators", settings.operatorConnections(), true));
   }
 
-  private static ConnectionGuard guard(
-      String name,
-      int maximumConnections,
-      boolean needsParameters,
+  /** The groups of listeners, which divide what clients may hold between them. */
+  private record Groups(
+      ProtectionSettings settings,
       MemoryBudget heap,
       MemoryBudget buffers,
-      ProtectionSettings settings,
       Telemetry telemetry,
       InstantSource clock) {
-    ConnectionGuard guard =
-        new ConnectionGuard(
-            name,
-            maximumConnections,
-            settings.pipelinedRequests(),
-            settings.limits(),
-            heap.addShare(settings.heldBytes() / GUARANTEED_PARTS),
-            buffers.addShare(settings.bufferBytes() / GUARANTEED_PARTS),
-            needsParameters,
-            clock,
-            telemetry.callLog());
-    register(telemetry.registry(), name, guard);
-    return guard;
+
+    private ConnectionGuard add(String name, int maximumConnections, boolean needsParameters) {
+      ConnectionGuard guard =
+          new ConnectionGuard(
+              name,
+              maximumConnections,
+              settings.pipelinedRequests(),
+              settings.limits(),
+              heap.addShare(settings.heldBytes() / GUARANTEED_PARTS),
+              buffers.addShare(settings.bufferBytes() / GUARANTEED_PARTS),
+              needsParameters,
+              clock,
+              telemetry.callLog());
+      register(telemetry.registry(), name, guard);
+      return guard;
+    }
   }
 
   private static void register(MeterRegistry registry, String name, ConnectionGuard guard) {
