Keep the sum of a budget, and write small responses without views

Callers saw nothing. The budget added up its shares for each reservation, and each write made views of its buffers.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ProgressSinkConduit.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ProgressSinkConduit.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.util.Arrays;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSourceChannel;
@@ -24,14 +23,9 @@
   private volatile boolean isBlocked;
   private boolean isFailed;
 
-  @FunctionalInterface
-  private interface GatheringWrite {
-    long apply(ByteBuffer[] sources, int offset, int length) throws IOException;
-  }
-
   // -- construction
 
-  private ProgressSinkConduit(StreamSinkConduit next) {
+  ProgressSinkConduit(StreamSinkConduit next) {
     super(next);
   }
 
@@ -76,37 +70,56 @@
 
   @Override
   public int write(ByteBuffer source) throws IOException {
-    return (int) write(new ByteBuffer[] {source}, 0, 1);
+    if (source.remaining() > MAXIMUM_WRITE_BYTES) {
+      return (int) writePart(new ByteBuffer[] {source}, 0, 1);
+    }
+    checkNotFailed();
+    int count = next.write(source);
+    return (int) record(count, source.hasRemaining());
   }
 
   @Override
   public long write(ByteBuffer[] sources, int offset, int length) throws IOException {
-    return write(sources, offset, length, next::write);
+    if (remaining(sources, offset, length) > MAXIMUM_WRITE_BYTES) {
+      return writePart(sources, offset, length);
+    }
+    checkNotFailed();
+    long count = next.write(sources, offset, length);
+    return record(count, length > 0 && sources[offset + length - 1].hasRemaining());
   }
 
   @Override
   public int writeFinal(ByteBuffer source) throws IOException {
-    return (int) writeFinal(new ByteBuffer[] {source}, 0, 1);
+    if (source.remaining() > MAXIMUM_WRITE_BYTES) {
+      return (int) writePart(new ByteBuffer[] {source}, 0, 1);
+    }
+    checkNotFailed();
+    int count = next.writeFinal(source);
+    return (int) record(count, source.hasRemaining());
   }
 
   @Override
   public long writeFinal(ByteBuffer[] sources, int offset, int length) throws IOException {
-    boolean isWhole = bytes(sources, offset, length) <= MAXIMUM_WRITE_BYTES;
-    return write(sources, offset, length, isWhole ? next::writeFinal : next::write);
+    if (remaining(sources, offset, length) > MAXIMUM_WRITE_BYTES) {
+      return writePart(sources, offset, length);
+    }
+    checkNotFailed();
+    long count = next.writeFinal(sources, offset, length);
+    return record(count, length > 0 && sources[offset + length - 1].hasRemaining());
   }
 
-  private long write(ByteBuffer[] sources, int offset, int length, GatheringWrite write)
-      throws IOException {
+  /** Writes the first bytes of buffers that hold more than is written at once. */
+  private long writePart(ByteBuffer[] sources, int offset, int length) throws IOException {
     checkNotFailed();
     ByteBuffer[] parts = firstBytes(sources, offset, length);
-    long count = write.apply(parts, 0, parts.length);
+    long count = next.write(parts, 0, parts.length);
     long left = Math.max(0, count);
     for (int index = offset; index < offset + length && left > 0; index++) {
       int written = (int) Math.min(left, sources[index].remaining());
       sources[index].position(sources[index].position() + written);
       left -= written;
     }
-    return record(count, parts.length > 0 && parts[parts.length - 1].hasRemaining());
+    return record(count, remaining(parts, 0, parts.length) > 0);
   }
 
   /** Returns views of the first bytes, as many as are written at once. */
@@ -122,8 +135,12 @@
     return parts;
   }
 
-  private static long bytes(ByteBuffer[] sources, int offset, int length) {
-    return Arrays.stream(sources, offset, offset + length).mapToLong(ByteBuffer::remaining).sum();
+  private static long remaining(ByteBuffer[] sources, int offset, int length) {
+    long remaining = 0;
+    for (int index = offset; index < offset + length; index++) {
+      remaining += sources[index].remaining();
+    }
+    return remaining;
   }
 
   @Override
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/protection/MemoryBudget.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/protection/MemoryBudget.java
@@ -1,8 +1,5 @@
 package org.parsleycart.decision.protection;
 
-import java.util.ArrayList;
-import java.util.List;
-
 /**
  * Divides the memory that clients may make a daemon hold. Each share has a guaranteed part that the
  * other shares never take; the rest goes to whichever share asks for it first. What all shares hold
@@ -10,7 +7,7 @@
  */
 public final class MemoryBudget {
   private final long maximumBytes;
-  private final List<Share> shares = new ArrayList<>();
+  private long committedBytes;
 
   // -- construction
 
@@ -30,17 +27,12 @@
    * @throws IllegalArgumentException if the guarantees exceed the budget
    */
   public synchronized Share addShare(long guaranteedBytes) {
-    Share share = new Share(guaranteedBytes);
-    shares.add(share);
-    if (committedBytes() > maximumBytes) {
+    if (committedBytes + guaranteedBytes > maximumBytes) {
       throw new IllegalArgumentException(
           "the guarantees of all shares exceed the budget of " + maximumBytes + " bytes");
     }
-    return share;
-  }
-
-  private long committedBytes() {
-    return shares.stream().mapToLong(Share::committedBytes).sum();
+    committedBytes += guaranteedBytes;
+    return new Share(guaranteedBytes);
   }
 
   /** The part of a budget that belongs to one group of clients. */
@@ -52,16 +44,19 @@
       this.guaranteedBytes = guaranteedBytes;
     }
 
-    private long committedBytes() {
-      return Math.max(heldBytes, guaranteedBytes);
+    /** Changes what is held, and what the share keeps from the others: at least its guarantee. */
+    private void add(long bytes) {
+      committedBytes -= Math.max(heldBytes, guaranteedBytes);
+      heldBytes += bytes;
+      committedBytes += Math.max(heldBytes, guaranteedBytes);
     }
 
     /** Reserves bytes. Returns false, and reserves nothing, if they exceed what is left. */
     public boolean tryHold(long bytes) {
       synchronized (MemoryBudget.this) {
-        heldBytes += bytes;
+        add(bytes);
         boolean isHeld = !isExceeded();
-        heldBytes -= isHeld ? 0 : bytes;
+        add(isHeld ? 0 : -bytes);
         return isHeld;
       }
     }
@@ -69,7 +64,7 @@
     /** Records bytes that are held whether they are permitted or not. */
     public void hold(long bytes) {
       synchronized (MemoryBudget.this) {
-        heldBytes += bytes;
+        add(bytes);
       }
     }
 
@@ -81,7 +76,7 @@
     /** Returns whether the share holds more than it is guaranteed while the budget is used up. */
     public boolean isExceeded() {
       synchronized (MemoryBudget.this) {
-        return heldBytes > guaranteedBytes && MemoryBudget.this.committedBytes() > maximumBytes;
+        return heldBytes > guaranteedBytes && committedBytes > maximumBytes;
       }
     }
 
