Answer a refused call between daemons before its body, and test refusals for lack of memory

What a daemon would see: a call with a body that is refused because too much is held gets no answer until the connection stalls. The server reads the rest of a request before it answers, and what had arrived of the body has been dropped.

Change: a refusal on a connection that is to be closed is sent at once, as it is to callers.

Evidence: by reading; the path of callers has a test now (32 requests that keep all buffers, then one with bytes behind it and one with an unfinished body: 503 with Retry-After, green). No test of the path between daemons.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/MeshResponses.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/MeshResponses.java
@@ -73,11 +73,7 @@
       headers.put(dialect.headers().requestIdentifier(), requestIdentifier);
       headers.put(Headers.CONTENT_LENGTH, 0);
       exchange.setStatusCode(status);
-      if (exchange.isPersistent() || exchange.isRequestComplete()) {
-        exchange.endExchange();
-      } else {
-        ClosingResponse.send(exchange);
-      }
+      endWithoutBody(exchange);
       return;
     }
     String body =
@@ -113,7 +109,16 @@
     setStatusAndHeaders(
         exchange, requestIdentifier, outcome, StatusCodes.SERVICE_UNAVAILABLE, reason);
     exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, 0);
-    exchange.endExchange();
+    endWithoutBody(exchange);
+  }
+
+  /** The server reads the rest of a request first, unless the connection is to be closed. */
+  private static void endWithoutBody(HttpServerExchange exchange) {
+    if (exchange.isPersistent() || exchange.isRequestComplete()) {
+      exchange.endExchange();
+    } else {
+      ClosingResponse.send(exchange);
+    }
   }
 
   /** Adds the load of an upstream to the response to another daemon. */
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
@@ -3,12 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.parsleycart.daemon.abuse.SeparateDaemon.Listener;
 import org.parsleycart.daemon.abuse.SeparateDaemon.Timeouts;
 
@@ -154,6 +157,35 @@
     }
   }
 
+  /** Guards against refusals that hang, or that do not say that the request has not run. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "GET /read/x HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\nGET /read/y HTTP/1.1\r\n",
+        "POST /read/x HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 100000\r\n\r\nhello"
+      })
+  void shouldRefuseWhatWouldKeepABufferWhenAllAreTaken(String bytes) throws Exception {
+    String unanswered =
+        "GET /read/%s HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\nGET /read/x HTTP/1.1\r\n"
+            .formatted(SeparateDaemon.UNANSWERED);
+    List<Socket> holders = new ArrayList<>();
+    try (SeparateDaemon daemon =
+        SeparateDaemon.start(List.of(), ", bufferBytes: 262144", Timeouts.SHORT)) {
+      for (int holder = 0; holder < 32; holder++) {
+        holders.add(daemon.send(Listener.CALLERS, unanswered));
+      }
+      // The 33rd buffer is more than there are, whatever is guaranteed to others.
+      String answer = daemon.answerTo(Listener.CALLERS, bytes);
+
+      assertThat(answer).startsWith("HTTP/1.1 503 ").contains("Retry-After");
+      assertThat(daemon.isAlive()).isTrue();
+    } finally {
+      for (Socket holder : holders) {
+        holder.close();
+      }
+    }
+  }
+
   // -- connections
 
   /** Guards against clients that send nothing and keep all others out. */
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/SeparateDaemon.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/SeparateDaemon.java
@@ -31,6 +31,10 @@
  */
 final class SeparateDaemon implements AutoCloseable {
   static final int LARGE_RESPONSE_BYTES = 540_000;
+
+  /** The upstream does not answer requests whose path contains it. */
+  static final String UNANSWERED = "unanswered";
+
   static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
 
   /** How long an ordinary caller waits, as the contract of its route states. */
@@ -209,6 +213,9 @@
   private static void answer(HttpExchange exchange) throws IOException {
     try (exchange) {
       exchange.getRequestBody().readAllBytes();
+      if (exchange.getRequestURI().getPath().contains(UNANSWERED)) {
+        LockSupport.parkNanos(Duration.ofMinutes(1).toNanos());
+      }
       exchange
           .getResponseHeaders()
           .set(IDENTIFIER_HEADER, exchange.getRequestHeaders().getFirst(IDENTIFIER_HEADER));
@@ -306,12 +313,18 @@
     return caller.send(address, request, timeout).map(response -> response.status()).getOrElse(0);
   }
 
+  /** Opens a connection and sends bytes. */
+  Socket send(Listener listener, String bytes) throws IOException {
+    InetSocketAddress target = Addresses.parse(address(listener)).orElseThrow();
+    Socket socket = new Socket(target.getAddress(), target.getPort());
+    socket.setSoTimeout((int) TIMEOUT.toMillis());
+    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    return socket;
+  }
+
   /** Sends bytes over a new connection, and returns all that comes back until it is closed. */
   String answerTo(Listener listener, String bytes) throws IOException {
-    InetSocketAddress target = Addresses.parse(address(listener)).orElseThrow();
-    try (Socket socket = new Socket(target.getAddress(), target.getPort())) {
-      socket.setSoTimeout((int) TIMEOUT.toMillis());
-      socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    try (Socket socket = send(listener, bytes)) {
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
   }
