Give connections to the control port a thread when they have sent something

What other daemons saw: no answer to pulls and requests for evidence, while peers that connect to the control port and send nothing hold its four threads for 2 s each and fill the queue behind them.

Change: one thread accepts and waits for the first bytes of each connection, without a thread for it.

A peer that sends a part of a frame still holds a thread for 2 s.

--- a/parsleycart-link/src/main/java/org/parsleycart/link/FrameServer.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/FrameServer.java
@@ -5,7 +5,6 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Optional;
@@ -19,17 +18,16 @@
 /**
  * Answers framed requests, one on each connection.
  *
- * <p>One thread accepts connections and a few threads answer. When the queue is full, further
- * connections are closed, which the client sees as a missing answer. A read from a slow or hostile
- * peer fails after the read timeout.
+ * <p>One thread accepts connections and a few threads answer those whose first bytes have arrived.
+ * When the queue is full, further connections are closed, which the client sees as a missing
+ * answer. A read from a slow or hostile peer fails after the read timeout.
  */
 public final class FrameServer implements AutoCloseable {
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
   private static final int ANSWERING_THREADS = 4;
   private static final int MAXIMUM_QUEUED_CONNECTIONS = 64;
-  private static final int BACKLOG = 256;
 
-  private final ServerSocket serverSocket;
+  private final FrameAcceptor acceptor;
   private final EnvelopeCodec codec;
   private final EncodedAnswers answers;
   private final ControlTrafficCounters counters;
@@ -40,12 +38,13 @@
   // -- construction
 
   private FrameServer(
-      ServerSocket serverSocket,
+      InetSocketAddress address,
       EnvelopeCodec codec,
       ControlTrafficCounters counters,
       Function<ControlMessage, ControlMessage> handler,
-      Thread.UncaughtExceptionHandler failures) {
-    this.serverSocket = serverSocket;
+      Thread.UncaughtExceptionHandler failures)
+      throws IOException {
+    this.acceptor = FrameAcceptor.open(address, this::submit, counters::recordRejected);
     this.codec = codec;
     this.answers = new EncodedAnswers(codec);
     this.counters = counters;
@@ -59,7 +58,7 @@
             new ArrayBlockingQueue<>(MAXIMUM_QUEUED_CONNECTIONS),
             task -> Threads.newPoolThread("frame-answering", task, failures),
             new ThreadPoolExecutor.AbortPolicy());
-    this.acceptingThread = Threads.newDaemonThread("frame-accepting", this::acceptAll);
+    this.acceptingThread = Threads.newDaemonThread("frame-accepting", acceptor::run);
   }
 
   /**
@@ -80,30 +79,13 @@
       Thread.UncaughtExceptionHandler failures)
       throws IOException {
     requireNonNull(handler, "handler is null");
-    ServerSocket socket = new ServerSocket();
-    socket.setReuseAddress(true);
-    socket.bind(address, BACKLOG);
-    FrameServer server = new FrameServer(socket, codec, counters, handler, failures);
+    FrameServer server = new FrameServer(address, codec, counters, handler, failures);
     server.acceptingThread.start();
     return server;
   }
 
   // -- operation
 
-  private void acceptAll() {
-    while (!serverSocket.isClosed()) {
-      accept().ifPresent(this::submit);
-    }
-  }
-
-  private Optional<Socket> accept() {
-    try {
-      return Optional.of(serverSocket.accept());
-    } catch (IOException e) {
-      return Optional.empty();
-    }
-  }
-
   private void submit(Socket socket) {
     try {
       answeringPool.execute(() -> answer(socket));
@@ -152,7 +134,7 @@
 
   @Override
   public void close() throws IOException {
-    serverSocket.close();
+    acceptor.close();
     answeringPool.shutdownNow();
   }
 }
