Check at start that the process has the memory that clients may hold

With limits.bufferBytes above what the process has, threads would wait for direct memory again. The settings report it now, and heldBytes above half of the heap, with the figure that is possible.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/HeldMemory.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/HeldMemory.java
@@ -23,6 +23,18 @@
     return Runtime.getRuntime().maxMemory() / HEAP_PARTS;
   }
 
+  /** Returns the heap in bytes that clients may hold at most, which leaves half to the daemon. */
+  static long maximumHeapBytes() {
+    return Runtime.getRuntime().maxMemory() / 2;
+  }
+
+  /**
+   * Returns the bytes in buffers that clients may hold at most, with what upstreams need beside.
+   */
+  static long maximumBufferBytes() {
+    return bufferBytes() * DIRECT_PARTS * 2 / 3;
+  }
+
   /** Returns the bytes in buffers that clients may make the daemon hold. */
   static long bufferBytes() {
     return directBytes(ManagementFactory.getRuntimeMXBean().getInputArguments()) / DIRECT_PARTS;
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ProtectionSettings.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/ProtectionSettings.java
@@ -82,6 +82,8 @@
           descriptors + " descriptors for " + total + " connections",
           "at least " + RESERVED_DESCRIPTORS + " more than all connections together");
     }
+    checkAtMost(reader, "heldBytes", heldBytes, HeldMemory.maximumHeapBytes());
+    checkAtMost(reader, "bufferBytes", bufferBytes, HeldMemory.maximumBufferBytes());
     if (maximumStallTime.compareTo(stallTime) < 0) {
       reader.report(
           "maximumStallTime",
@@ -90,6 +92,13 @@
     }
   }
 
+  private static void checkAtMost(MappingReader reader, String key, long bytes, long maximum) {
+    if (bytes > maximum) {
+      reader.report(
+          key, bytes + " bytes", "at most " + maximum + " with the memory of the process");
+    }
+  }
+
   private static int number(
       MappingReader reader, String key, int minimum, int maximum, int defaultValue) {
     return reader.number(key, minimum, maximum).orElse((long) defaultValue).intValue();
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/settings/DaemonSettingsTest.java
@@ -149,4 +149,26 @@
         .extracting(problem -> problem.location().path())
         .containsExactlyInAnyOrder("limits.descriptors", "limits.maximumStallTime");
   }
+
+  /** Guards against bounds on clients that exceed the memory of the process. */
+  @Test
+  void shouldReportBoundsOnClientsThatTheProcessHasNoMemoryFor() {
+    List<Problem> problems =
+        DaemonSettings.parse(
+                "daemon.yaml",
+                """
+                zone: abdali
+                addresses: {callers: "10.0.0.1:7400", daemons: "10.0.0.1:7401",
+                            control: "10.0.0.1:7402", operators: "10.0.0.1:7403"}
+                platform: embedded
+                peerKeys: [test-key-0123456789]
+                limits: {heldBytes: %d, bufferBytes: %d}
+                """
+                    .formatted(Runtime.getRuntime().maxMemory(), Runtime.getRuntime().maxMemory()))
+            .getLeft();
+
+    assertThat(problems)
+        .extracting(problem -> problem.location().path())
+        .containsExactlyInAnyOrder("limits.heldBytes", "limits.bufferBytes");
+  }
 }
