--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/abuse/ClientCrowdTest.java
@@ -39,6 +39,12 @@
 
   private static final int CROWDS = 3;
 
+  /** The clients of a crowd that sends too much for the heap. */
+  private static final int CLIENTS = 600;
+
+  /** The clients of a crowd that stays below the lowered limit of connections. */
+  private static final int CLIENTS_WITHIN_LIMIT = 290;
+
   /** Ends a test whose daemon has stopped answering. */
   private static final Duration PATIENCE = Duration.ofSeconds(20);
 
@@ -72,7 +78,7 @@
       value = Target.class,
       names = {"ROUTE", "NO_ROUTE", "DAEMONS", "READINESS"})
   void shouldLiveWhenRequestsHaveManyParameters(Target target) throws Exception {
-    checkHeads(AbusiveLoad.MANY_PARAMETERS, target);
+    checkAfterCrowds(AbusiveLoad.MANY_PARAMETERS, target);
   }
 
   /** Guards against a daemon that ends because parameters of unfinished heads fill its heap. */
@@ -81,7 +87,7 @@
       value = Target.class,
       names = {"ROUTE", "NO_ROUTE", "DAEMONS", "READINESS"})
   void shouldLiveWhenUnfinishedHeadsHaveManyParameters(Target target) throws Exception {
-    checkHeads(AbusiveLoad.UNFINISHED_PARAMETERS, target);
+    checkAfterCrowds(AbusiveLoad.UNFINISHED_PARAMETERS, target);
   }
 
   /** Guards against a daemon that ends because fields of unfinished heads fill its heap. */
@@ -90,13 +96,13 @@
       value = Target.class,
       names = {"ROUTE", "NO_ROUTE", "DAEMONS", "READINESS"})
   void shouldLiveWhenUnfinishedHeadsAreLong(Target target) throws Exception {
-    checkHeads(AbusiveLoad.UNFINISHED_FIELDS, target);
+    checkAfterCrowds(AbusiveLoad.UNFINISHED_FIELDS, target);
   }
 
   /** Guards against responses of the daemon itself that fill its heap while nobody reads them. */
   @Test
   void shouldLiveWhenResponsesToOperatorsAreNotRead() throws Exception {
-    checkHeads(AbusiveLoad.UNREAD_RESPONSES, Target.OPERATORS);
+    checkAfterCrowds(AbusiveLoad.UNREAD_RESPONSES, Target.OPERATORS);
   }
 
   /** Guards against the refusal of each body of unknown length, however short it is. */
@@ -123,10 +129,10 @@
     }
   }
 
-  private static void checkHeads(AbusiveLoad load, Target target) throws Exception {
+  private static void checkAfterCrowds(AbusiveLoad load, Target target) throws Exception {
     try (SeparateDaemon daemon = SeparateDaemon.start(SMALL_HEAP, "", Timeouts.SHORT)) {
       for (int crowd = 0; crowd < CROWDS; crowd++) {
-        try (AbusiveClients clients = target.start(load, 600, daemon)) {
+        try (AbusiveClients clients = target.start(load, CLIENTS, daemon)) {
           clients.awaitEstablished();
           checkProcess(daemon, MAXIMUM_DESCRIPTORS);
         }
@@ -147,7 +153,8 @@
     try (SeparateDaemon daemon =
         SeparateDaemon.start(SMALL_DIRECT_MEMORY, CONNECTION_LIMIT, Timeouts.SHORT)) {
       for (int crowd = 0; crowd < CROWDS; crowd++) {
-        try (AbusiveClients clients = target.start(AbusiveLoad.SENT_AHEAD, 290, daemon)) {
+        try (AbusiveClients clients =
+            target.start(AbusiveLoad.SENT_AHEAD, CLIENTS_WITHIN_LIMIT, daemon)) {
           clients.awaitEstablished();
           checkProcess(daemon, LOWERED_DESCRIPTORS);
         }
