Log who uses the slots, and how long requests lie on their connection

The lines `slots-used` say for each second and upstream which route held the slots, waited for them and was refused; `connectionWaitMilliseconds` of `call-ended` says how long a request lay on its connection behind earlier ones. Two metrics sum both up. No decision is changed.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -107,6 +107,7 @@
                     Organisation.queueRank(
                         organisation.flatMap(configuration::organisation), contract.get()),
                     organisation,
+                    arrivedAt,
                     deadline(exchange, arrivedAt),
                     span.traceParent(),
                     Optional.empty(),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -187,6 +187,12 @@
                 Duration.between(clock.instant(), call.deadline()).toMillis());
     upstream.ifPresent(local -> fields.with("load", local.admission().load().toString()));
     log.write("admission-refused", call.requestIdentifier(), fields);
+    upstream.ifPresent(
+        local ->
+            local
+                .slots()
+                .recordRefusal(call.route(), clock.instant())
+                .ifPresent(window -> SlotUsageLog.write(log, local, window)));
   }
 
   private void start(LocalUpstream upstream, LocalCall call) {
@@ -318,12 +324,22 @@
         metrics.recordColdReturn();
       }
       recordStatistics(result, latency);
+      recordSlotUsage(latency);
       recordEnd(result);
       applyDecision(upstream, decision);
       call.listener().loadReported(upstream.load());
       call.listener().ended(result);
     }
 
+    private void recordSlotUsage(Duration latency) {
+      Duration waited = Duration.between(call.submittedAt(), startedAt);
+      metrics.recordAdmissionWait(waited);
+      upstream
+          .slots()
+          .recordEnd(call.route(), waited, latency, clock.instant())
+          .ifPresent(window -> SlotUsageLog.write(log, upstream, window));
+    }
+
     private void recordEnd(AttemptResult result) {
       if (result.fault() == Fault.BROKEN) {
         crashDetector.recordBrokenCall(upstream, call);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionGuard.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionGuard.java
@@ -130,7 +130,7 @@
     ConnectionAccount account = new ConnectionAccount(heap, buffers);
     GuardedConnection guarded =
         GuardedConnection.install(
-            connection, account, cause -> recordClosed(connection, cause, 0), clock.instant());
+            connection, account, cause -> recordClosed(connection, cause, 0), clock);
     connections.add(guarded);
     return account;
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -137,6 +137,7 @@
                 request.contract(),
                 request.queueRank(),
                 request.organisationName(),
+                dependencies.clock().instant(),
                 request.deadline(),
                 span.traceParent(),
                 dependencies.state().callerService(),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -47,6 +47,7 @@
   private void handle(HttpServerExchange exchange) {
     ReadDelay readDelay = dependencies.readDelays().recordRequest(exchange);
     Instant now = dependencies.clock().instant();
+    Duration connectionWait = connectionWait(exchange, now);
     Instant arrivedAt = now.minus(readDelay.waitingTime(now));
     String identifier = requestIdentifierOf(exchange);
     MeshState state = dependencies.state();
@@ -87,10 +88,23 @@
             service.get(),
             caller.get(),
             arrivedAt,
+            connectionWait,
             deadline.get());
     new EntryCall(dependencies, exchange, request, span).start();
   }
 
+  private Duration connectionWait(HttpServerExchange exchange, Instant now) {
+    Duration wait =
+        DisconnectDetectingConduit.guardOf(exchange)
+            .flatMap(GuardedConnection::pipelinedSince)
+            .map(since -> Duration.between(since, now))
+            .orElse(Duration.ZERO);
+    if (!wait.isZero()) {
+      dependencies.metrics().recordConnectionWait(wait);
+    }
+    return wait;
+  }
+
   /** Refuses a call that has not run, because clients hold too much memory already. */
   public void refuseForMemory(HttpServerExchange exchange) {
     refuse(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/GuardedConnection.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/GuardedConnection.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -58,9 +59,16 @@
   private final ProgressSinkConduit sink;
   private final ConnectionAccount account;
   private final Consumer<String> onRefused;
+  private final InstantSource clock;
   private final HeadMeter head = new HeadMeter();
   private volatile Optional<HttpServerExchange> exchange = Optional.empty();
   private boolean isNextPipelined;
+
+  /** When bytes of the next request were first read, before the present one was answered. */
+  private Optional<Instant> readAheadAt = Optional.empty();
+
+  private Optional<Instant> pipelinedSince = Optional.empty();
+  private Instant requestBegunAt;
   private long progressBytes;
   private Instant progressAt;
   private Phase lastPhase = Phase.UNUSED;
@@ -73,13 +81,15 @@
       ProgressSinkConduit sink,
       ConnectionAccount account,
       Consumer<String> onRefused,
-      Instant now) {
+      InstantSource clock) {
     this.account = account;
     this.onRefused = onRefused;
     this.connection = connection;
     this.turn = turn;
     this.sink = sink;
-    this.progressAt = now;
+    this.clock = clock;
+    this.progressAt = clock.instant();
+    this.requestBegunAt = progressAt;
   }
 
   /**
@@ -91,7 +101,7 @@
       StreamConnection connection,
       ConnectionAccount account,
       Consumer<String> onRefused,
-      Instant now) {
+      InstantSource clock) {
     GuardedConnection guarded =
         new GuardedConnection(
             connection,
@@ -99,7 +109,7 @@
             ProgressSinkConduit.install(connection),
             account,
             onRefused,
-            now);
+            clock);
     guarded.turn.setReadListener(guarded::recordRead);
     DisconnectDetectingConduit.install(connection, guarded);
     return guarded;
@@ -129,6 +139,9 @@
   /** Records that a request begins. Returns whether it arrived before the previous response. */
   boolean begin(HttpServerExchange begun) {
     head.restart();
+    pipelinedSince = isNextPipelined ? readAheadAt : Optional.empty();
+    readAheadAt = Optional.empty();
+    requestBegunAt = clock.instant();
     exchange = Optional.of(begun);
     if (!begun.isRequestComplete()) {
       boolean isChunked = begun.getRequestContentLength() < 0;
@@ -158,6 +171,10 @@
     exchange = Optional.empty();
     account.endRequest();
     isNextPipelined = hasMore;
+    if (parsed.isPresent()) {
+      // These bytes arrived with the request that has ended.
+      readAheadAt = Optional.of(requestBegunAt);
+    }
     parsed.ifPresent(this::recordParsed);
     turn.setBytesPerTurn(HEAD_TURN_BYTES);
     turn.countLines(false);
@@ -175,6 +192,9 @@
   /** Records the bytes that have been read ahead of the server. */
   void setReadAhead(int bytes) {
     account.setReadAhead(bytes);
+    if (bytes > 0 && readAheadAt.isEmpty()) {
+      readAheadAt = Optional.of(clock.instant());
+    }
   }
 
   /** Releases all that the connection holds, once it is closed. */
@@ -219,6 +239,14 @@
 
   // -- queries
 
+  /**
+   * Returns since when the request has been on the connection, empty if it did not arrive before
+   * the previous response was complete.
+   */
+  Optional<Instant> pipelinedSince() {
+    return pipelinedSince;
+  }
+
   StreamConnection connection() {
     return connection;
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
@@ -19,6 +19,7 @@
  * @param contract the contract of the route
  * @param queueRank the rank in the queue of the upstream; smaller ranks run first
  * @param organisation the organisation of the caller, empty if it has none
+ * @param submittedAt when the call arrived beside the upstream
  * @param deadline time after which a response is useless to the caller
  * @param traceParent the trace context for the upstream, empty if there is none
  * @param callerService the service beside the entry; empty if another daemon is the entry
@@ -34,6 +35,7 @@
     Contract contract,
     int queueRank,
     Optional<String> organisation,
+    Instant submittedAt,
     Instant deadline,
     String traceParent,
     Optional<String> callerService,
@@ -48,6 +50,7 @@
     requireNonNull(route, "route is null");
     requireNonNull(contract, "contract is null");
     requireNonNull(organisation, "organisation is null");
+    requireNonNull(submittedAt, "submittedAt is null");
     requireNonNull(deadline, "deadline is null");
     requireNonNull(traceParent, "traceParent is null");
     requireNonNull(callerService, "callerService is null");
@@ -119,6 +122,7 @@
         contract,
         queueRank,
         organisation,
+        submittedAt,
         deadline,
         traceParent,
         callerService,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstream.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstream.java
@@ -7,6 +7,7 @@
 import org.parsleycart.decision.admission.AdmissionControl;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.PaceTracker;
+import org.parsleycart.decision.admission.SlotUsage;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
 import org.parsleycart.decision.membership.UpstreamHeartbeat;
 
@@ -19,6 +20,7 @@
  * @param heartbeat its last heartbeat, empty if it sends none
  * @param admission controls the admission of calls to it
  * @param pace tracks how long its calls take
+ * @param slots sums up who uses its slots
  */
 record LocalUpstream(
     AnnouncedUpstream announced,
@@ -26,7 +28,8 @@
     Instant renewBy,
     Optional<UpstreamHeartbeat> heartbeat,
     AdmissionControl<LocalCall> admission,
-    PaceTracker pace) {
+    PaceTracker pace,
+    SlotUsage slots) {
 
   LocalUpstream {
     requireNonNull(announced, "announced is null");
@@ -35,6 +38,7 @@
     requireNonNull(heartbeat, "heartbeat is null");
     requireNonNull(admission, "admission is null");
     requireNonNull(pace, "pace is null");
+    requireNonNull(slots, "slots is null");
   }
 
   /** Returns the load to report to entry daemons. */
@@ -50,12 +54,18 @@
     boolean isDraining = announced.draining() || later.upstream().draining();
     LocalUpstream updated =
         new LocalUpstream(
-            later.upstream(), later.address(), newRenewBy, Optional.of(later), admission, pace);
+            later.upstream(),
+            later.address(),
+            newRenewBy,
+            Optional.of(later),
+            admission,
+            pace,
+            slots);
     return isDraining ? updated.toDraining() : updated;
   }
 
   LocalUpstream withRenewBy(Instant newRenewBy) {
-    return new LocalUpstream(announced, address, newRenewBy, heartbeat, admission, pace);
+    return new LocalUpstream(announced, address, newRenewBy, heartbeat, admission, pace, slots);
   }
 
   /**
@@ -78,6 +88,6 @@
             announced.version(),
             announced.slots(),
             true);
-    return new LocalUpstream(drainingUpstream, address, renewBy, heartbeat, admission, pace);
+    return new LocalUpstream(drainingUpstream, address, renewBy, heartbeat, admission, pace, slots);
   }
 }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalUpstreams.java
@@ -17,6 +17,7 @@
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.PaceTracker;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.admission.SlotUsage;
 import org.parsleycart.decision.membership.AnnouncedUpstream;
 import org.parsleycart.decision.membership.DepartedProcess;
 import org.parsleycart.decision.membership.DepartedUpstreams;
@@ -87,7 +88,13 @@
     upstreams.put(
         announced.identifier(),
         new LocalUpstream(
-            announced, address, renewBy, Optional.empty(), admission, new PaceTracker()));
+            announced,
+            address,
+            renewBy,
+            Optional.empty(),
+            admission,
+            new PaceTracker(),
+            new SlotUsage()));
     changeListener.run();
   }
 
@@ -148,7 +155,8 @@
                 renewBy,
                 Optional.of(heartbeat),
                 newAdmission(heartbeat),
-                new PaceTracker());
+                new PaceTracker(),
+                new SlotUsage());
     after.admission().setRemainingColdTime(heartbeat.remainingColdTime());
     upstreams.put(identifier, after);
     closeWhenDraining(after);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RoutedRequest.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RoutedRequest.java
@@ -19,6 +19,7 @@
  * @param contract the contract of the route
  * @param service the destination chosen among those of the route
  * @param organisation the organisation of the caller, empty if it has none
+ * @param connectionWait how long the request lay on its connection behind earlier ones
  * @param deadline time after which a response is useless to the caller
  */
 record RoutedRequest(
@@ -29,6 +30,7 @@
     Service service,
     Optional<Organisation> organisation,
     Instant arrivedAt,
+    Duration connectionWait,
     Instant deadline) {
 
   RoutedRequest {
@@ -39,6 +41,7 @@
     requireNonNull(service, "service is null");
     requireNonNull(organisation, "organisation is null");
     requireNonNull(arrivedAt, "arrivedAt is null");
+    requireNonNull(connectionWait, "connectionWait is null");
     requireNonNull(deadline, "deadline is null");
   }
 
@@ -70,6 +73,9 @@
             .with("rank", queueRank())
             .with("objectiveMilliseconds", contract.latencyObjective().toMillis())
             .with("deadlineMilliseconds", Duration.between(arrivedAt, deadline).toMillis());
+    if (!connectionWait.isZero()) {
+      fields.with("connectionWaitMilliseconds", connectionWait.toMillis());
+    }
     organisationName().ifPresent(name -> fields.with("organisation", name));
     return fields;
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallMetrics.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/report/CallMetrics.java
@@ -15,6 +15,8 @@
 public final class CallMetrics {
   private final Map<AttemptOutcome, Timer> calls = new EnumMap<>(AttemptOutcome.class);
   private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
+  private final Timer admissionWaits;
+  private final Timer connectionWaits;
   private final Counter retries;
   private final Counter localAttempts;
   private final Counter otherZoneAttempts;
@@ -42,6 +44,14 @@
               .tag("reason", reason.toString())
               .register(registry));
     }
+    admissionWaits =
+        Timer.builder("parsleycart.admission.wait")
+            .description("Time for which admitted calls waited for a slot of an upstream beside")
+            .register(registry);
+    connectionWaits =
+        Timer.builder("parsleycart.connection.wait")
+            .description("Time for which requests lay on their connection behind earlier ones")
+            .register(registry);
     retries =
         Counter.builder("parsleycart.retries")
             .description("Retries: attempts after the first")
@@ -71,6 +81,16 @@
     calls.get(outcome).record(duration);
   }
 
+  /** Records how long an admitted call waited for a slot. */
+  public void recordAdmissionWait(Duration wait) {
+    admissionWaits.record(wait);
+  }
+
+  /** Records how long a request lay on its connection behind earlier ones. */
+  public void recordConnectionWait(Duration wait) {
+    connectionWaits.record(wait);
+  }
+
   public void recordRefusal(RefusalReason reason) {
     refusals.get(reason).increment();
   }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallEndTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallEndTest.java
@@ -46,6 +46,7 @@
           SERVICE,
           Optional.empty(),
           Instant.EPOCH,
+          Duration.ZERO,
           Instant.EPOCH.plusSeconds(1));
 
   private static CallEnd end(
