--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionGuard.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionGuard.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.parsleycart.daemon.report.CallLog;
+import org.parsleycart.decision.pipeline.SafeRequestHead;
 import org.parsleycart.decision.protection.ConnectionUsage;
 import org.parsleycart.decision.protection.MemoryBudget;
 import org.parsleycart.decision.protection.ProtectionLimits;
@@ -278,10 +279,11 @@
             });
   }
 
-  /** Moves what the server has read of the next request to where it is read ahead. */
+  /** Moves the next request, if the server has read all of it, to where it is read ahead. */
   private static void unreadNext(HttpServerExchange exchange) {
     if (exchange.getConnection() instanceof AbstractServerConnection connection
-        && connection.getExtraBytes() != null) {
+        && connection.getExtraBytes() != null
+        && SafeRequestHead.lengthIn(connection.getExtraBytes().getBuffer()).isPresent()) {
       try (PooledByteBuffer extra = connection.getExtraBytes()) {
         DisconnectDetectingConduit.of(exchange)
             .ifPresent(conduit -> conduit.unread(extra.getBuffer()));
