Start calls with long responses at the rate of the link

Cause: nobody accounts for the link of a VM. Downloads of 90 kB go to the fastest upstreams, whose links of 10 Mbit/s fill; connections to their daemons time out after 250 ms, and two such failures eject an upstream. The service goes on with its slower upstreams only. The class of the fault is a full resource that is taken for a failed one.

Change: LinkRateLimiter, a token bucket in bytes beside each upstream. Calls whose responses take the link for more than 10 ms start at four fifths of its rate; other calls start meanwhile. The sizes are learned from the responses, the rate comes from the settings.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/DaemonComponents.java
@@ -217,7 +217,11 @@
   }
 
   private static AdmissionSettings admissionSettings(DaemonLimits limits) {
-    return new AdmissionSettings(limits.coldLimit(), limits.queueLength(), limits.trustsSlots());
+    return new AdmissionSettings(
+        limits.coldLimit(),
+        limits.queueLength(),
+        limits.trustsSlots(),
+        limits.linkBytesPerSecond());
   }
 
   private static AdmissionService admission(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -257,6 +257,10 @@
       if (!hasRun) {
         return Optional.of(refusedByUpstream(status));
       }
+      if (status < StatusCodes.BAD_REQUEST) {
+        ResponseFraming.contentLength(response)
+            .ifPresent(bytes -> upstream.admission().recordResponseSize(call.route(), bytes));
+      }
       return call.listener().isDeliverable(status)
           ? Optional.empty()
           : Optional.of(
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
@@ -8,6 +8,9 @@
 import io.undertow.util.Protocols;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.tinylog.Logger;
 import org.xnio.IoUtils;
 import org.xnio.Options;
@@ -18,6 +21,7 @@
  */
 final class ResponseFraming {
   private static final int MAXIMUM_STATUS = 599;
+  private static final Pattern LENGTH = Pattern.compile("[0-9]{1,15}");
 
   private ResponseFraming() {}
 
@@ -32,6 +36,14 @@
     return status >= StatusCodes.OK && status <= MAXIMUM_STATUS;
   }
 
+  /** Returns the length of the body in bytes, empty if the response does not state it. */
+  static OptionalLong contentLength(ClientResponse response) {
+    return Stream.ofNullable(response.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH))
+        .filter(length -> LENGTH.matcher(length).matches())
+        .mapToLong(Long::parseLong)
+        .findFirst();
+  }
+
   /** Returns whether the response has no body, or has headers that show where its body ends. */
   static boolean isFramed(HttpServerExchange exchange, ClientResponse response) {
     return !hasBody(exchange, response.getResponseCode())
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/settings/DaemonLimits.java
@@ -4,6 +4,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.parsleycart.decision.routing.Balancing;
 import org.parsleycart.model.document.MappingReader;
 import org.parsleycart.platform.PlatformBounds;
@@ -27,6 +29,7 @@
  *     service
  * @param savedRetries the maximum retry budget that a service can accumulate
  * @param balancing how calls are balanced between upstreams
+ * @param linkMegabitsPerSecond the rate of the link of the VM, empty if it does not limit calls
  * @param protection the limits on what clients may hold
  */
 public record DaemonLimits(
@@ -43,11 +46,14 @@
     double retriesPerCall,
     double savedRetries,
     Balancing balancing,
+    OptionalDouble linkMegabitsPerSecond,
     ProtectionSettings protection) {
   private static final long MEBIBYTE = 1024 * 1024;
   private static final double DEFAULT_RETRIES_PER_CALL = 0.1;
   private static final double DEFAULT_SAVED_RETRIES = 20;
   private static final double MAXIMUM_SAVED_RETRIES = 10_000;
+  private static final double MAXIMUM_LINK_MEGABITS = 1_000_000;
+  private static final double BYTES_PER_MEGABIT = 125_000;
 
   // -- construction
 
@@ -55,6 +61,7 @@
     requireNonNull(drainTimeout, "drainTimeout is null");
     requireNonNull(graceTime, "graceTime is null");
     requireNonNull(balancing, "balancing is null");
+    requireNonNull(linkMegabitsPerSecond, "linkMegabitsPerSecond is null");
     requireNonNull(protection, "protection is null");
   }
 
@@ -80,11 +87,18 @@
                 .orElse(bounds.retriesPerCall().orElse(DEFAULT_RETRIES_PER_CALL)),
             reader.decimal("savedRetries", 0, MAXIMUM_SAVED_RETRIES).orElse(DEFAULT_SAVED_RETRIES),
             balancing(reader),
+            linkMegabitsPerSecond(reader),
             ProtectionSettings.from(reader));
     reader.reportUnknownKeys();
     return limits;
   }
 
+  private static OptionalDouble linkMegabitsPerSecond(MappingReader reader) {
+    return reader.decimal("linkMegabitsPerSecond", 0, MAXIMUM_LINK_MEGABITS).stream()
+        .filter(rate -> rate > 0)
+        .findFirst();
+  }
+
   private static Balancing balancing(MappingReader reader) {
     Optional<String> label = reader.text("balancing");
     Optional<Balancing> balancing = label.flatMap(Balancing::ofLabel);
@@ -98,4 +112,13 @@
       MappingReader reader, String key, int minimum, int maximum, int defaultValue) {
     return reader.number(key, minimum, maximum).orElse((long) defaultValue).intValue();
   }
+
+  // -- queries
+
+  /** Returns the rate of the link in bytes per second, empty if it does not limit calls. */
+  public OptionalLong linkBytesPerSecond() {
+    return linkMegabitsPerSecond.stream()
+        .mapToLong(rate -> (long) (rate * BYTES_PER_MEGABIT))
+        .findFirst();
+  }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/AdmissionControl.java
@@ -43,6 +43,7 @@
   private Optional<RefusalReason> closedReason = Optional.empty();
   private final ColdStartRateLimiter coldStartLimiter;
   private final StatedRateLimiter statedRateLimiter;
+  private final LinkRateLimiter linkLimiter;
   private final MeanLatency meanLatency = new MeanLatency();
   private final ExpectedLatency expectedLatency;
   private int running;
@@ -71,6 +72,7 @@
     this.queueLastEmptyAt = coldSince;
     this.coldStartLimiter = new ColdStartRateLimiter(OptionalDouble.empty(), coldSince);
     this.statedRateLimiter = new StatedRateLimiter(coldSince);
+    this.linkLimiter = new LinkRateLimiter(settings.linkBytesPerSecond(), coldSince);
     this.isStatedRateKnown = isStatedRateKnown;
   }
 
@@ -180,6 +182,11 @@
     return !statedRateLimiter.callsPerSecond().equals(before);
   }
 
+  /** Records the size in bytes of the response to a call on a route. */
+  public synchronized void recordResponseSize(String route, long bytes) {
+    linkLimiter.recordResponse(route, bytes);
+  }
+
   private void recordReturnToCold(long returnsToColdBefore) {
     if (limit.returnsToCold() > returnsToColdBefore) {
       coldSince = clock.instant();
@@ -267,7 +274,13 @@
     List<AdmissionRequest<C>> admitted = new ArrayList<>();
     Instant now = clock.instant();
     while (running < maximumRunning() && !queue.isEmpty() && coldStartLimiter.isStartAllowed(now)) {
-      AdmissionRequest<C> next = queue.poll().orElseThrow();
+      // A call that is alone waits for no end of another that would admit it.
+      Optional<AdmissionRequest<C>> polled =
+          queue.poll(request -> running == 0 || linkLimiter.isStartAllowed(request.route(), now));
+      if (polled.isEmpty()) {
+        break;
+      }
+      AdmissionRequest<C> next = polled.get();
       Optional<RefusalReason> refusalReason =
           statedRateLimiter.isStartAllowed(now)
               ? lateReason(next, now, queue.size())
@@ -279,6 +292,7 @@
         queue.recordStart(next);
         coldStartLimiter.recordStart(now);
         statedRateLimiter.recordStart(now);
+        linkLimiter.recordStart(next.route(), now);
         expectedLatency.recordStart(next.route(), now);
         admitted.add(next);
       }
@@ -312,13 +326,18 @@
    * requests of another, so it does not count against them.
    */
   private Duration expectedWait(AdmissionRequest<?> request) {
+    Duration linkWait =
+        linkLimiter.expectedWait(
+            request.route(), queue.stream().map(AdmissionRequest::route), clock.instant());
     if (running < maximumRunning()) {
-      return Duration.ZERO;
+      return linkWait;
     }
-    return limit
-        .usualLatency(request.route())
-        .multipliedBy(queue.countAhead(request))
-        .dividedBy(limit.current());
+    Duration slotWait =
+        limit
+            .usualLatency(request.route())
+            .multipliedBy(queue.countAhead(request))
+            .dividedBy(limit.current());
+    return slotWait.compareTo(linkWait) > 0 ? slotWait : linkWait;
   }
 
   /**
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/FairQueue.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/FairQueue.java
@@ -64,6 +64,18 @@
     return queuesByOrganisation.values().stream().map(PriorityQueue::peek).min(headOrder());
   }
 
+  /** Returns the request to run next of those that match, empty if none does. */
+  private Optional<AdmissionRequest<C>> peek(Predicate<AdmissionRequest<C>> predicate) {
+    Optional<AdmissionRequest<C>> first = peek();
+    if (first.isEmpty() || predicate.test(first.get())) {
+      return first;
+    }
+    return queuesByOrganisation.values().stream()
+        .flatMap(
+            queue -> queue.stream().filter(predicate).min(AdmissionRequest.queueOrder()).stream())
+        .min(headOrder());
+  }
+
   /**
    * Returns how many queued requests would run before the given request if it were queued and no
    * others arrived.
@@ -182,10 +194,15 @@
    * its turn only when {@link #recordStart} follows, so a request that is refused takes no turn.
    */
   Optional<AdmissionRequest<C>> poll() {
-    Optional<AdmissionRequest<C>> next = peek();
+    return poll(request -> true);
+  }
+
+  /** Does the same as {@link #poll()} among the requests that match. */
+  Optional<AdmissionRequest<C>> poll(Predicate<AdmissionRequest<C>> predicate) {
+    Optional<AdmissionRequest<C>> next = peek(predicate);
     next.ifPresent(
         request -> {
-          queuesByOrganisation.get(request.organisation()).poll();
+          queuesByOrganisation.get(request.organisation()).remove(request);
           removeEmptyQueues();
         });
     return next;
