Know nested calls by the deadline of the call that they serve

What callers saw: reads of headers were refused as late, and the lookups that needed them failed after they had used a slot for 300 ms and more.

Cause: calls that upstreams make were known by the shortest deadline of the configuration.

Change: RunningDeadlines holds the deadlines of the calls that the upstreams beside a daemon run. The former rule stays beside it. A line of such a call has `nested`.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionHandler.java
@@ -108,6 +108,7 @@
                         organisation.flatMap(configuration::organisation), contract.get()),
                     organisation,
                     arrivedAt,
+                    Boolean.parseBoolean(header(exchange, CallHeaders.NESTED)),
                     deadline(exchange, arrivedAt),
                     span.traceParent(),
                     Optional.empty(),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AdmissionService.java
@@ -24,6 +24,7 @@
 import org.parsleycart.decision.admission.AdmissionDecision;
 import org.parsleycart.decision.admission.AdmissionRequest;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.decision.admission.RunningDeadlines;
 import org.parsleycart.decision.admission.UpstreamNotice;
 import org.parsleycart.decision.usage.UsageRecorder;
 import org.parsleycart.link.dialect.CallHeaderNames;
@@ -46,6 +47,7 @@
   private final CallLog log;
   private final UsageRecorder usage;
   private final CrashDetector crashDetector;
+  private final RunningDeadlines runningDeadlines = new RunningDeadlines();
   private final InstantSource clock;
   private final HopPolicy entryHop;
   private final HopPolicy relayedHop;
@@ -87,6 +89,18 @@
     this.relayedHop = HopPolicy.fromDaemonToUpstream(dialect);
   }
 
+  // -- queries
+
+  /**
+   * Returns whether a request that callers send to this daemon may be one that an upstream beside
+   * makes while it runs a call.
+   *
+   * @param statedDeadline when the request expires, as it states itself
+   */
+  boolean mayBeNested(Instant statedDeadline) {
+    return runningDeadlines.mayServe(statedDeadline);
+  }
+
   // -- operations
 
   /**
@@ -115,7 +129,7 @@
             call,
             call.queueRank(),
             call.route(),
-            state.configuration().softDeadline(call.contract(), call.deadline()),
+            call.softDeadline(state.configuration()),
             call.deadline(),
             call.organisation());
     // The first heartbeat may precede the configuration that limits the calls of a cold upstream.
@@ -244,6 +258,7 @@
       this.call = call;
       this.startedAt = startedAt;
       this.usageWindow = usage.recordBegun(call.organisation());
+      runningDeadlines.add(call.deadline());
     }
 
     @Override
@@ -321,6 +336,7 @@
       if (result.outcome() == AttemptOutcome.NOT_RUN) {
         usage.recordNotRun(call.organisation(), usageWindow);
       }
+      runningDeadlines.remove(call.deadline());
       Duration latency = Duration.between(startedAt, clock.instant());
       long coldReturnsBefore = upstream.admission().returnsToCold();
       AdmissionDecision<LocalCall> decision = release(result, latency);
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallHeaders.java
@@ -28,6 +28,9 @@
   /** How long calls take at an upstream, apart from the load, which earlier daemons parse whole. */
   static final HttpString PACE = new HttpString(PREFIX + "pace");
 
+  /** States that an upstream makes the call while it runs another, which needs it. */
+  static final HttpString NESTED = new HttpString(PREFIX + "nested");
+
   static final HttpString ZONE = new HttpString(PREFIX + "zone");
   static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
   static final HttpString IDEMPOTENCY_ATTEMPT = new HttpString("Idempotency-Attempt");
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DaemonCallHeaders.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DaemonCallHeaders.java
@@ -28,6 +28,9 @@
     headers.put(CallHeaders.UPSTREAM, candidate.identifier());
     headers.put(CallHeaders.ROUTE, route);
     organisation.ifPresent(name -> headers.put(CallHeaders.ORGANISATION, name));
+    if (request.isNested()) {
+      headers.put(CallHeaders.NESTED, Boolean.TRUE.toString());
+    }
     CallHeaders.putTraceParent(headers, traceParent);
     headers.put(
         CallHeaders.SIGNATURE,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryCall.java
@@ -138,6 +138,7 @@
                 request.queueRank(),
                 request.organisationName(),
                 dependencies.clock().instant(),
+                request.isNested(),
                 request.deadline(),
                 span.traceParent(),
                 dependencies.state().callerService(),
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/EntryHandler.java
@@ -65,6 +65,7 @@
       return;
     }
     Optional<Instant> deadline = contract.map(found -> deadline(exchange, found, arrivedAt));
+    boolean isNested = dependencies.admission().mayBeNested(arrivedAt.plus(statedWait(exchange)));
     Either<RefusalReason, Optional<Organisation>> caller =
         invalidRequest(exchange, configuration)
             .or(() -> leavingRoute(exchange, configuration, state, route))
@@ -78,7 +79,8 @@
     Optional<RefusalReason> refusal =
         caller.fold(
             Optional::of,
-            accepted -> overload(readDelay, configuration, contract.get(), deadline.get(), now));
+            accepted ->
+                overload(readDelay, configuration, contract.get(), isNested, deadline.get(), now));
     if (refusal.isPresent()) {
       refuse(exchange, identifier, refusal.get(), arrivedAt);
       return;
@@ -94,6 +96,7 @@
             caller.get(),
             arrivedAt,
             connectionWait,
+            isNested,
             deadline.get());
     new EntryCall(dependencies, exchange, request, span).start();
   }
@@ -184,9 +187,14 @@
       ReadDelay readDelay,
       Configuration configuration,
       Contract contract,
+      boolean isNested,
       Instant deadline,
       Instant now) {
-    return readDelay.wouldAnswerLate(usefulTime(configuration, contract, deadline, now), now)
+    Duration usefulTime =
+        isNested
+            ? Duration.between(now, deadline)
+            : usefulTime(configuration, contract, deadline, now);
+    return readDelay.wouldAnswerLate(usefulTime, now)
         ? Optional.of(RefusalReason.OVERLOADED)
         : Optional.empty();
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/LocalCall.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
+import org.parsleycart.model.Configuration;
 import org.parsleycart.model.Contract;
 import org.xnio.XnioIoThread;
 
@@ -20,6 +21,7 @@
  * @param queueRank the rank in the queue of the upstream; smaller ranks run first
  * @param organisation the organisation of the caller, empty if it has none
  * @param submittedAt when the call arrived beside the upstream
+ * @param isNested whether an upstream makes the call while it runs another, which needs it
  * @param deadline time after which a response is useless to the caller
  * @param traceParent the trace context for the upstream, empty if there is none
  * @param callerService the service beside the entry; empty if another daemon is the entry
@@ -36,6 +38,7 @@
     int queueRank,
     Optional<String> organisation,
     Instant submittedAt,
+    boolean isNested,
     Instant deadline,
     String traceParent,
     Optional<String> callerService,
@@ -111,6 +114,11 @@
     }
   }
 
+  /** Returns when an answer becomes late; for a nested call when it becomes useless. */
+  Instant softDeadline(Configuration configuration) {
+    return isNested ? deadline : configuration.softDeadline(contract, deadline);
+  }
+
   /** Returns this call with another listener. */
   LocalCall withListener(Listener newListener) {
     return new LocalCall(
@@ -123,6 +131,7 @@
         queueRank,
         organisation,
         submittedAt,
+        isNested,
         deadline,
         traceParent,
         callerService,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RoutedRequest.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RoutedRequest.java
@@ -20,6 +20,7 @@
  * @param service the destination chosen among those of the route
  * @param organisation the organisation of the caller, empty if it has none
  * @param connectionWait how long the request lay on its connection behind earlier ones
+ * @param isNested whether the upstream beside makes the request while it runs a call that needs it
  * @param deadline time after which a response is useless to the caller
  */
 record RoutedRequest(
@@ -31,6 +32,7 @@
     Optional<Organisation> organisation,
     Instant arrivedAt,
     Duration connectionWait,
+    boolean isNested,
     Instant deadline) {
 
   RoutedRequest {
@@ -76,6 +78,9 @@
     if (!connectionWait.isZero()) {
       fields.with("connectionWaitMilliseconds", connectionWait.toMillis());
     }
+    if (isNested) {
+      fields.with("nested", true);
+    }
     organisationName().ifPresent(name -> fields.with("organisation", name));
     return fields;
   }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallEndTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/CallEndTest.java
@@ -47,6 +47,7 @@
           Optional.empty(),
           Instant.EPOCH,
           Duration.ZERO,
+          false,
           Instant.EPOCH.plusSeconds(1));
 
   private static CallEnd end(
