Compare upstreams by measured call times where no pace is stated

What callers saw: lookups late while some upstreams of both services had idle slots.

Cause: upstreams of a service differ in speed by up to three times. Where servers state no pace, two choices compare calls for each slot only, so that a slow upstream gets as many calls as a fast one and its queue is three times as long in time.

Two candidates of a zone are compared by their utilization multiplied by that time, relative to the mean of the service. The choice between zones stays as it was, because bytes between zones are dear. With `balancing: two-choices` nothing changes.

--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/PaceTracker.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/admission/PaceTracker.java
@@ -48,16 +48,15 @@
 
   // -- queries
 
-  /**
-   * Returns the pace of calls, empty before the first complete answer after the upstream stated a
-   * pace.
-   */
+  /** Returns the pace of calls, empty before the first complete answer. */
   public synchronized Optional<CallPace> current() {
-    if (averagePace == 0) {
+    if (usualNanoseconds == 0) {
       return Optional.empty();
     }
-    double percent = PERCENT * currentPace / averagePace;
+    Duration usualTime = Duration.ofNanos((long) usualNanoseconds);
     return Optional.of(
-        new CallPace(Duration.ofNanos((long) usualNanoseconds), (int) Math.round(percent)));
+        averagePace == 0
+            ? CallPace.unstated(usualTime)
+            : new CallPace(usualTime, (int) Math.round(PERCENT * currentPace / averagePace)));
   }
 }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/ServiceLoad.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/ServiceLoad.java
@@ -40,7 +40,7 @@
     }
     double reported = (double) report.outstandingCalls() / Math.max(1, report.limit());
     utilization += (Math.min(MAXIMUM_UTILIZATION, reported) - utilization) * REPORT_WEIGHT;
-    isPaced |= report.pace().isPresent();
+    isPaced |= report.pace().filter(CallPace::isStated).isPresent();
     report.pace().map(CallPace::expectedTime).ifPresent(time -> recordTime(time.toNanos()));
   }
 
@@ -64,7 +64,7 @@
     return List.copyOf(recent);
   }
 
-  /** Returns whether any upstream of the service has reported a pace. */
+  /** Returns whether any upstream of the service has stated how its pace changes. */
   synchronized boolean isPaced() {
     return isPaced;
   }
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamLoad.java
@@ -36,6 +36,9 @@
    */
   private static final int ASSUMED_LIMIT = 2;
 
+  /** Bounds how much faster or slower than the mean a report can make an upstream look. */
+  private static final double MAXIMUM_TIME_RATIO = 4;
+
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicInteger consecutiveFailures = new AtomicInteger();
   private volatile int reportedLimit = ASSUMED_LIMIT;
@@ -134,6 +137,19 @@
     return (outstandingFromOthers + inFlight.get() + 1.0) / reportedLimit;
   }
 
+  /**
+   * Returns the utilization, multiplied by how long calls take here compared to the mean of the
+   * service: an upstream that is twice as fast sustains twice the calls.
+   */
+  double utilizationTime() {
+    double ratio =
+        lastReport
+            .flatMap(last -> last.report().pace())
+            .map(pace -> pace.expectedTime().toNanos() / serviceLoad.callNanoseconds())
+            .orElse(1.0);
+    return utilization() * Math.max(1 / MAXIMUM_TIME_RATIO, Math.min(MAXIMUM_TIME_RATIO, ratio));
+  }
+
   /**
    * Returns the number of calls running or queued at the upstream, as far as known from its last
    * report and the calls in flight.
--- a/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
+++ b/parsleycart-decision/src/main/java/org/parsleycart/decision/routing/UpstreamSelection.java
@@ -19,9 +19,11 @@
  * local zone are preferred while they have capacity. Candidates in other zones are chosen when they
  * are clearly less loaded.
  *
- * <p>With the expected end it is the best by {@link EndEstimator} of the upstreams that reported
- * last to this daemon and a few drawn at random. A report goes to one daemon, so that daemons which
- * choose by their latest reports do not choose the same upstream.
+ * <p>With the expected end, where upstreams state no pace, the two candidates of a zone are
+ * compared by their load and by how long their calls take. Where they state a pace, it is the best
+ * by {@link EndEstimator} of the upstreams that reported last to this daemon and a few drawn at
+ * random. A report goes to one daemon, so that daemons which choose by their latest reports do not
+ * choose the same upstream.
  *
  * <p>The cost does not grow with the number of upstreams unless no drawn candidate is usable.
  */
@@ -185,7 +187,7 @@
       return first;
     }
     return draw(zoneCandidates, isUsable, random)
-        .filter(second -> utilization(second) < utilization(first.get()))
+        .filter(second -> loadWeight(second) < loadWeight(first.get()))
         .or(() -> first);
   }
 
@@ -204,6 +206,13 @@
     return loads.of(candidate).utilization();
   }
 
+  /** Returns the figure by which two candidates of a zone are compared. */
+  private double loadWeight(Candidate candidate) {
+    return balancing == Balancing.TWO_CHOICES
+        ? utilization(candidate)
+        : loads.of(candidate).utilizationTime();
+  }
+
   // -- queries
 
   public Balancing balancing() {
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/admission/CallPaceTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/admission/CallPaceTest.java
@@ -28,6 +28,8 @@
 
     assertThat(pace).hasToString("276 104");
     assertThat(CallPace.parse("276 104")).contains(pace);
+    CallPace unstated = CallPace.unstated(Duration.ofMillis(276));
+    assertThat(CallPace.parse(unstated.toString())).contains(unstated);
   }
 
   @ParameterizedTest
@@ -53,6 +55,13 @@
     assertThat(tracker.current()).contains(new CallPace(Duration.ofMillis(300), 100));
   }
 
+  @Test
+  void shouldMeasureTheTimeOfCallsWhenNoPaceIsStated() {
+    tracker.recordAnswer(Duration.ofMillis(300));
+
+    assertThat(tracker.current()).contains(CallPace.unstated(Duration.ofMillis(300)));
+  }
+
   @Test
   void shouldFollowAChangeOfPaceBeforeAnswersShowIt() {
     answers(50, 100, 300);
--- a/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingTest.java
+++ b/parsleycart-decision/src/test/java/org/parsleycart/decision/routing/RoutingTest.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.parsleycart.decision.AttemptOutcome;
+import org.parsleycart.decision.admission.CallPace;
 import org.parsleycart.decision.admission.LoadReport;
 import org.parsleycart.decision.admission.RefusalReason;
 import org.parsleycart.decision.admission.WarmUpState;
@@ -189,6 +191,35 @@
 
       assertThat(selections).isLessThan(160);
     }
+
+    /** Guards against queues at slow upstreams while fast ones are idle. */
+    @Test
+    void shouldPreferTheFasterUpstreamWhenNoPaceIsStated() {
+      CandidatePool pool = pool(2, 0);
+      UpstreamSelection selectionByTime = new UpstreamSelection(loads, Balancing.EXPECTED_END);
+      IntStream.range(0, 100)
+          .mapToObj(report -> pool.localZone().get(report % 2))
+          .forEach(
+              candidate ->
+                  loads
+                      .of(candidate)
+                      .recordReport(
+                          new LoadReport(4, 10, WarmUpState.WARM)
+                              .withPace(
+                                  Optional.of(
+                                      CallPace.unstated(
+                                          Duration.ofMillis(
+                                              candidate.identifier().equals("u0") ? 100 : 50)))),
+                          NOW));
+
+      long selections =
+          IntStream.range(0, 400)
+              .mapToObj(draw -> selectionByTime.choose(pool, Set.of(), NOW, random).orElseThrow())
+              .filter(candidate -> candidate.identifier().equals("u0"))
+              .count();
+
+      assertThat(selections).isLessThan(160);
+    }
   }
 
   @Nested
