Release requests that run ahead when their caller has left

Found while the diff was read: a lane whose connection failed while its response was sent was never released, so that its place among the pipelined requests and its account were lost. With all places lost, requests on a connection run one after the other again.

Change: a connection that ends releases all its lanes, after they have told their calls. A response that closes the connection is followed by a pause, so that the caller can read it. Lanes keep the server from reading for half of its idle time at most, after which it would close the connection.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/CallServer.java
@@ -153,14 +153,10 @@
         guard,
         (connection, account, guarded) -> {
           OptionMap options = optionsFor(limits.get());
-          DisconnectDetectingConduit.installPipeline(
+          guard.installPipeline(
               connection,
-              (head, onChanged) ->
-                  guard.openLane(
-                      connection,
-                      head,
-                      onChanged,
-                      lane -> serve(lane, lane.account(), guarded, options)));
+              maximumHoldTime(options),
+              lane -> serve(lane, lane.account(), guarded, options));
           serve(connection, account, guarded, options);
         });
   }
@@ -232,6 +228,13 @@
     return builder.getMap();
   }
 
+  /** Returns a part of the time after which the server closes an idle connection. */
+  private static Duration maximumHoldTime(OptionMap options) {
+    return Duration.ofMillis(
+            options.get(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLISECONDS))
+        .dividedBy(2);
+  }
+
   private static int milliseconds(Duration duration) {
     return (int) Math.min(Integer.MAX_VALUE, duration.toMillis());
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionGuard.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ConnectionGuard.java
@@ -293,12 +293,22 @@
   }
 
   /**
-   * Opens a lane for a request that arrived before earlier ones have been answered.
+   * Lets requests on a connection begin before earlier ones have been answered.
    *
-   * @param server lets the server handle the request in the lane
-   * @return the lane, empty if too many are open
+   * @param maximumHoldTime how long the server may be kept from reading the next request
+   * @param server lets the server handle the request in a lane
    */
-  Optional<PipelineLane> openLane(
+  void installPipeline(
+      StreamConnection connection, Duration maximumHoldTime, Consumer<PipelineLane> server) {
+    DisconnectDetectingConduit.installPipeline(
+        connection,
+        (head, onChanged) -> openLane(connection, head, onChanged, server),
+        maximumHoldTime,
+        clock);
+  }
+
+  /** Opens a lane. Returns empty if too many are open. */
+  private Optional<PipelineLane> openLane(
       StreamConnection connection,
       ByteBuffer head,
       Runnable onChanged,
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
@@ -68,11 +70,21 @@
         new DisconnectDetectingConduit(channel, Optional.empty(), Optional.of(lane)));
   }
 
-  /** Lets requests on a connection begin before earlier ones have been answered. */
-  static void installPipeline(StreamConnection connection, RequestPipeline.LaneOpener opener) {
+  /**
+   * Lets requests on a connection begin before earlier ones have been answered.
+   *
+   * @param maximumHoldTime how long the server may be kept from reading the next request
+   */
+  static void installPipeline(
+      StreamConnection connection,
+      RequestPipeline.LaneOpener opener,
+      Duration maximumHoldTime,
+      InstantSource clock) {
     if (connection.getSourceChannel().getConduit() instanceof DisconnectDetectingConduit conduit) {
       conduit.pipeline =
-          Optional.of(new RequestPipeline(connection, opener, conduit::resumeServer));
+          Optional.of(
+              new RequestPipeline(
+                  connection, opener, maximumHoldTime, clock, conduit::resumeServer));
     }
   }
 
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/PipelineLane.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/PipelineLane.java
@@ -104,6 +104,7 @@
   void release() {
     if (!isReleased) {
       isReleased = true;
+      taskOfTurn = Optional.empty();
       IoUtils.safeClose(this);
       account.close();
       onReleased.run();
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestPipeline.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestPipeline.java
@@ -3,13 +3,19 @@
 import static java.util.Objects.requireNonNull;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.parsleycart.decision.pipeline.PipelineOrder;
 import org.parsleycart.decision.pipeline.SafeRequestHead;
 import org.xnio.IoUtils;
@@ -26,15 +32,23 @@
  * answered. Confined to the input/output thread of the connection, except for queries that say so.
  */
 final class RequestPipeline {
+  private static final Set<HttpString> SAFE_METHODS = Set.of(Methods.GET, Methods.HEAD);
+
+  /** A connection that is closed while bytes arrive is reset, which may overtake the response. */
+  private static final long LINGER_MILLISECONDS = 500;
+
   private final StreamConnection connection;
   private final StreamSinkConduit sink;
   private final LaneOpener opener;
+  private final Duration maximumHoldTime;
+  private final InstantSource clock;
   private final Runnable onAnswered;
   private final PipelineOrder<Optional<PipelineLane>> order =
       new PipelineOrder<>(PipelineOrder.MAXIMUM_IN_PROGRESS);
   private final List<PipelineLane> lanes = new ArrayList<>();
   private boolean isSending;
   private boolean isClosing;
+  private Instant heldBackSince;
   private volatile boolean isHoldingBack;
 
   /** Opens lanes. */
@@ -55,13 +69,23 @@
   /**
    * Creates a pipeline without requests.
    *
+   * @param maximumHoldTime how long the server may be kept from reading, which closes connections
+   *     on which no request begins
    * @param onAnswered runs when the server may read from the connection again
    */
-  RequestPipeline(StreamConnection connection, LaneOpener opener, Runnable onAnswered) {
+  RequestPipeline(
+      StreamConnection connection,
+      LaneOpener opener,
+      Duration maximumHoldTime,
+      InstantSource clock,
+      Runnable onAnswered) {
     this.connection = requireNonNull(connection, "connection is null");
     this.opener = requireNonNull(opener, "opener is null");
     this.onAnswered = requireNonNull(onAnswered, "onAnswered is null");
+    this.maximumHoldTime = requireNonNull(maximumHoldTime, "maximumHoldTime is null");
+    this.clock = requireNonNull(clock, "clock is null");
     this.sink = connection.getSinkChannel().getConduit();
+    this.heldBackSince = clock.instant();
   }
 
   // -- requests
@@ -71,20 +95,17 @@
    * behind it may begin before it has been answered.
    */
   boolean begin(HttpServerExchange exchange) {
-    boolean isSafe = exchange.getRequestMethod().equals(Methods.GET) || isHead(exchange);
+    boolean isSafe = SAFE_METHODS.contains(exchange.getRequestMethod());
     boolean isFollowed = isSafe && exchange.isRequestComplete() && exchange.isPersistent();
     order.begin(Optional.empty(), isFollowed);
     return isFollowed;
   }
 
-  private static boolean isHead(HttpServerExchange exchange) {
-    return exchange.getRequestMethod().equals(Methods.HEAD);
-  }
-
   /** Records that the request that the server handles itself has been answered. */
   void end() {
     order.endFirst();
     isHoldingBack = !order.isEmpty();
+    heldBackSince = clock.instant();
     sendResponses();
   }
 
@@ -108,20 +129,37 @@
   }
 
   private OptionalInt nextHead(ByteBuffer received) {
-    return order.isEmpty() || isClosing || !order.mayBegin(true)
-        ? OptionalInt.empty()
-        : SafeRequestHead.lengthIn(received);
+    boolean mayBegin = !order.isEmpty() && !isClosing && !isHeldTooLong() && order.mayBegin(true);
+    return mayBegin ? SafeRequestHead.lengthIn(received) : OptionalInt.empty();
   }
 
-  /** Records that the caller has closed the connection, or that it failed. */
+  private boolean isHeldTooLong() {
+    return isHoldingBack
+        && Duration.between(heldBackSince, clock.instant()).compareTo(maximumHoldTime) > 0;
+  }
+
+  /** Ends all requests, because the caller has closed the connection or it failed. */
   void disconnect() {
-    List.copyOf(lanes).forEach(PipelineLane::disconnect);
+    isClosing = true;
+    lanes.forEach(PipelineLane::disconnect);
+    // The lanes report the disconnect to their calls on this thread, before they are released.
+    connection.getIoThread().execute(this::releaseLanes);
+  }
+
+  private void releaseLanes() {
+    List<PipelineLane> released = List.copyOf(lanes);
+    lanes.clear();
+    released.forEach(PipelineLane::release);
+    if (isHoldingBack) {
+      isHoldingBack = false;
+      onAnswered.run();
+    }
   }
 
   // -- responses
 
   private void sendResponses() {
-    if (isSending) {
+    if (isSending || lanes.isEmpty()) {
       return;
     }
     isSending = true;
@@ -133,6 +171,7 @@
     } catch (IOException e) {
       // The caller gets no complete response any more, and sees that the connection is closed.
       IoUtils.safeClose(connection);
+      disconnect();
     } finally {
       isSending = false;
     }
@@ -162,8 +201,10 @@
     lanes.remove(lane);
     lane.release();
     if (lane.isLast()) {
-      IoUtils.safeClose(connection);
-    } else if (order.isEmpty()) {
+      closeAfterResponse();
+      return false;
+    }
+    if (order.isEmpty()) {
       isHoldingBack = false;
       sink.setWriteReadyHandler(
           new WriteReadyHandler.ChannelListenerHandler<>(connection.getSinkChannel()));
@@ -173,6 +214,22 @@
     return true;
   }
 
+  /** Closes the connection once the caller has had time to read the response. */
+  private void closeAfterResponse() throws IOException {
+    isClosing = true;
+    sink.terminateWrites();
+    sink.flush();
+    connection
+        .getIoThread()
+        .executeAfter(
+            () -> {
+              IoUtils.safeClose(connection);
+              disconnect();
+            },
+            LINGER_MILLISECONDS,
+            TimeUnit.MILLISECONDS);
+  }
+
   private void awaitSink() {
     sink.setWriteReadyHandler(new SendHandler());
     sink.resumeWrites();
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/ConcurrentPipelineTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/ConcurrentPipelineTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,6 +34,9 @@
   private static final Pattern STATUS = Pattern.compile("HTTP/1\\.1 (\\d{3})");
   private static final String FIRST = "/read/first";
 
+  /** More than the pipelined requests that a daemon handles at once. */
+  private static final int CALLERS_THAT_LEAVE = 40;
+
   /** Longer than what is held back of a response. */
   private static final String LONG_BODY = "0123456789".repeat(20_000);
 
@@ -46,6 +50,9 @@
       SocketUpstream.write(socket, ScriptedUpstream.ok(isSecondArrived() ? "together" : "alone"));
       return true;
     }
+    if (request.startLine().contains("/read/silent")) {
+      return true;
+    }
     secondArrived.countDown();
     if (request.startLine().contains("/read/broken")) {
       SocketUpstream.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbroken off");
@@ -93,6 +100,14 @@
     return socket;
   }
 
+  private void awaitRequests(int count) {
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLISECONDS);
+    while (upstream.requests() < count && System.nanoTime() < deadline) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+    }
+    assertThat(upstream.requests()).as("requests that arrived").isGreaterThanOrEqualTo(count);
+  }
+
   /** Sends requests in one piece and returns all that comes back until the connection ends. */
   private String exchange(int member, String requests) throws IOException {
     try (Socket socket = connect(member)) {
@@ -123,9 +138,7 @@
   void shouldRunReadThatArrivesLater(int member) throws IOException {
     try (Socket socket = connect(member)) {
       SocketUpstream.write(socket, get(FIRST));
-      while (upstream.requests() == 0) {
-        Thread.onSpinWait();
-      }
+      awaitRequests(1);
       SocketUpstream.write(socket, get("/read/second") + get("/read/x", "Connection: close\r\n"));
 
       String responses = new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
@@ -154,6 +167,24 @@
     assertThat(responses).containsSubsequence("together", "short").doesNotContain("broken off");
   }
 
+  /** Guards against requests of callers that have left and keep the places of others. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void shouldReleasePlacesOfRequestsWhoseCallersHaveLeft(int member) throws IOException {
+    for (int caller = 1; caller <= CALLERS_THAT_LEAVE; caller++) {
+      try (Socket socket = connect(member)) {
+        SocketUpstream.write(socket, get("/read/silent/1") + get("/read/silent/2"));
+        awaitRequests(2 * caller);
+      }
+    }
+
+    String responses =
+        exchange(
+            member, get(FIRST) + get("/read/second") + get("/read/x", "Connection: close\r\n"));
+
+    assertThat(responses).contains("together");
+  }
+
   /** After the responses, the connection serves requests as before. */
   @ParameterizedTest
   @ValueSource(ints = {0, 1})
