Keep the order of responses when a lane ends while another is opened

Found while the diff was read, not seen in a play: a lane that changed while another was being opened could end the order, so that the server read on before the new lane had its place, and a later response could have gone first. Requests that had been read ahead beyond those in progress also waited for all of these, not for the next answer.

Change: nothing is sent while lanes are opened, and each answer lets the next request begin. ConcurrentPipelineTest#shouldAnswerMoreRequestsThanMayBeInProgress covers the second; the first has no test.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
@@ -84,7 +84,7 @@
       conduit.pipeline =
           Optional.of(
               new RequestPipeline(
-                  connection, opener, maximumHoldTime, clock, conduit::resumeServer));
+                  connection, opener, maximumHoldTime, clock, conduit::continueReading));
     }
   }
 
@@ -156,6 +156,13 @@
     resumeServer();
   }
 
+  /** Goes on between two requests that the server handles itself. */
+  private void continueReading() {
+    if (disconnectTask.isEmpty()) {
+      resumeServer();
+    }
+  }
+
   /** Passes the buffered bytes to the server if it has resumed reads. */
   private void resumeServer() {
     if (isReadRequested || isHoldingBack()) {
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestPipeline.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/RequestPipeline.java
@@ -46,7 +46,7 @@
   private final PipelineOrder<Optional<PipelineLane>> order =
       new PipelineOrder<>(PipelineOrder.MAXIMUM_IN_PROGRESS);
   private final List<PipelineLane> lanes = new ArrayList<>();
-  private boolean isSending;
+  private boolean isBusy;
   private boolean isClosing;
   private Instant heldBackSince;
   private volatile boolean isHoldingBack;
@@ -71,7 +71,7 @@
    *
    * @param maximumHoldTime how long the server may be kept from reading, which closes connections
    *     on which no request begins
-   * @param onAnswered runs when the server may read from the connection again
+   * @param onAnswered runs when a request may begin that had to wait for an answer
    */
   RequestPipeline(
       StreamConnection connection,
@@ -111,23 +111,37 @@
 
   /** Begins the safe requests at the start of the bytes that have been read ahead. */
   void beginAhead(ByteBuffer received) {
-    OptionalInt length = nextHead(received);
-    while (length.isPresent()) {
-      ByteBuffer head = ByteBuffer.allocate(length.getAsInt());
-      head.put(received.slice(received.position(), head.capacity())).flip();
-      Optional<PipelineLane> lane = opener.open(head, this::sendResponses);
-      if (lane.isEmpty()) {
-        return;
+    if (isBusy) {
+      return;
+    }
+    // A lane may change while it is opened, before it has its place in the order.
+    isBusy = true;
+    try {
+      OptionalInt length = nextHead(received);
+      while (length.isPresent() && begin(received, length.getAsInt())) {
+        length = nextHead(received);
       }
-      received.position(received.position() + length.getAsInt());
-      order.begin(lane, true);
-      lanes.add(lane.get());
-      isClosing |= lane.get().isLast();
-      length = nextHead(received);
+    } finally {
+      isBusy = false;
     }
     sendResponses();
   }
 
+  /** Begins the request at the position of a buffer. Returns false if there is no place for it. */
+  private boolean begin(ByteBuffer received, int length) {
+    ByteBuffer head = ByteBuffer.allocate(length);
+    head.put(received.slice(received.position(), length)).flip();
+    Optional<PipelineLane> opened = opener.open(head, this::sendResponses);
+    opened.ifPresent(
+        lane -> {
+          received.position(received.position() + length);
+          order.begin(opened, true);
+          lanes.add(lane);
+          isClosing |= lane.isLast();
+        });
+    return opened.isPresent();
+  }
+
   private OptionalInt nextHead(ByteBuffer received) {
     boolean mayBegin = !order.isEmpty() && !isClosing && !isHeldTooLong() && order.mayBegin(true);
     return mayBegin ? SafeRequestHead.lengthIn(received) : OptionalInt.empty();
@@ -159,10 +173,10 @@
   // -- responses
 
   private void sendResponses() {
-    if (isSending || lanes.isEmpty()) {
+    if (isBusy || lanes.isEmpty()) {
       return;
     }
-    isSending = true;
+    isBusy = true;
     try {
       Optional<PipelineLane> lane = firstLane();
       while (lane.isPresent() && sendResponse(lane.get())) {
@@ -173,7 +187,7 @@
       IoUtils.safeClose(connection);
       disconnect();
     } finally {
-      isSending = false;
+      isBusy = false;
     }
   }
 
@@ -209,8 +223,9 @@
       sink.setWriteReadyHandler(
           new WriteReadyHandler.ChannelListenerHandler<>(connection.getSinkChannel()));
       sink.suspendWrites();
-      onAnswered.run();
     }
+    // There may be a place for a request that has been read ahead, or the server may go on.
+    connection.getIoThread().execute(onAnswered);
     return true;
   }
 
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/ConcurrentPipelineTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/ConcurrentPipelineTest.java
@@ -37,6 +37,8 @@
   /** More than the pipelined requests that a daemon handles at once. */
   private static final int CALLERS_THAT_LEAVE = 40;
 
+  private static final int REQUESTS_AHEAD = 30;
+
   /** Longer than what is held back of a response. */
   private static final String LONG_BODY = "0123456789".repeat(20_000);
 
@@ -167,6 +169,23 @@
     assertThat(responses).containsSubsequence("together", "short").doesNotContain("broken off");
   }
 
+  /**
+   * More requests than may be in progress together, so that some wait for the answers to others.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void shouldAnswerMoreRequestsThanMayBeInProgress(int member) throws IOException {
+    String responses =
+        exchange(
+            member,
+            get(FIRST)
+                + get("/read/second").repeat(REQUESTS_AHEAD)
+                + get("/read/x", "Connection: close\r\n"));
+
+    assertThat(STATUS.matcher(responses).results()).hasSize(REQUESTS_AHEAD + 2);
+    assertThat(responses).startsWith("HTTP/1.1 200 OK").contains("together");
+  }
+
   /** Guards against requests of callers that have left and keep the places of others. */
   @ParameterizedTest
   @ValueSource(ints = {0, 1})
