Join what is read ahead in one place, and check for a place in one

Read of the whole change: DisconnectDetectingConduit joined buffers twice, and PipelineGate had two checks of its bound. No behaviour changes.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/DisconnectDetectingConduit.java
@@ -179,9 +179,7 @@
 
   /** Takes back bytes that the server has read behind the request in progress. */
   void unread(ByteBuffer bytes) {
-    ByteBuffer joined = ByteBuffer.allocate(bytes.remaining() + buffered.remaining());
-    buffered = joined.put(bytes).put(buffered).flip();
-    recordBuffered();
+    setBuffered(bytes, buffered);
   }
 
   private void beginAhead() {
@@ -213,15 +211,19 @@
     }
   }
 
-  /** Keeps no more memory than there are bytes, since most connections never have any. */
   private void append(ByteBuffer read) {
     if (read.hasRemaining()) {
-      ByteBuffer joined = ByteBuffer.allocate(buffered.remaining() + read.remaining());
-      buffered = joined.put(buffered).put(read).flip();
-      recordBuffered();
+      setBuffered(buffered, read);
     }
   }
 
+  /** Keeps no more memory than there are bytes, since most connections never have any. */
+  private void setBuffered(ByteBuffer first, ByteBuffer second) {
+    ByteBuffer joined = ByteBuffer.allocate(first.remaining() + second.remaining());
+    buffered = joined.put(first).put(second).flip();
+    recordBuffered();
+  }
+
   private void recordBuffered() {
     guarded.ifPresent(account -> account.setReadAhead(buffered.remaining()));
   }
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/PipelineGate.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/PipelineGate.java
@@ -89,10 +89,8 @@
 
   /** Returns whether there is a place for the request. Otherwise it waits for one. */
   private synchronized boolean tryEnter(Request request) {
-    boolean isEntering = running.size() < maximum;
-    if (isEntering) {
-      running.add(request);
-    } else {
+    boolean isEntering = tryEnterAtOnce(request);
+    if (!isEntering) {
       waiting.addLast(request);
     }
     return isEntering;
