Read responses as RFC 9112 defines them before the HTTP client does

Callers saw: a response of a server in trouble whose head was spoilt reached them as an answer: with two lengths the last one counted, so that 9 of 16 bytes were a whole answer; a length with a plus sign, a transfer coding that is none (the chunk heads as body), lines without a colon or a name, names and values with blanks and control bytes (the line passed on). To HEAD any length was passed on. A spoilt head with the status 503 and the not-run field was believed as "not run".

Cause: the HTTP client's parser accepts far more than RFC 9110 and 9112 define, and everything behind it takes what it returns.

Change: ResponseReader reads heads, chunk sizes and trailers in BoundedResponseConduit, below the parser, for calls to upstreams and daemons and for HttpClient alike. A response that is none fails its exchange: outcome unknown, connection closed. Bytes behind a response are withheld, as the parser would take them for the next one without the reader; such a connection is not used again.

Two equal lines count once.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -18,7 +18,7 @@
 import org.parsleycart.daemon.call.AttemptResult.Fault;
 import org.parsleycart.decision.AttemptOutcome;
 import org.parsleycart.link.http.BoundedConnection;
-import org.parsleycart.link.http.OversizedResponseException;
+import org.parsleycart.link.http.UnusableResponseException;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
@@ -268,7 +268,7 @@
   }
 
   private void responseFailed(IOException cause) {
-    Fault fault = cause instanceof OversizedResponseException ? Fault.UNUSABLE : Fault.BROKEN;
+    Fault fault = cause instanceof UnusableResponseException ? Fault.UNUSABLE : Fault.BROKEN;
     endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, fault));
   }
 
--- /dev/null
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
@@ -0,0 +1,229 @@
+package org.parsleycart.daemon.call;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.parsleycart.daemon.call.RelayMesh.MeshDialect;
+import org.parsleycart.daemon.call.WireCaller.Call;
+
+/**
+ * Guards against a check of heads that takes proper answers for malformed ones: those that RFC 9110
+ * and RFC 9112 allow, though few servers send them.
+ */
+class UnusualAnswerTest {
+  private static final String BODY = "0123456789abcdef";
+  private static final Map<MeshDialect, RelayMesh> MESHES = new EnumMap<>(MeshDialect.class);
+
+  /** Answers with the status 200 and the body; {@code %s} is replaced by the echo. */
+  enum Unusual {
+    PLAIN("HTTP/1.1 200 OK\r\n%sContent-Length: 16\r\n\r\n" + BODY),
+    EMPTY_REASON("HTTP/1.1 200 \r\n%sContent-Length: 16\r\n\r\n" + BODY),
+    LONG_REASON(
+        "HTTP/1.1 200 All \t is \u00e9 well: \"yes\"\r\n%sContent-Length: 16\r\n\r\n" + BODY),
+    EARLIER_VERSION("HTTP/1.0 200 OK\r\n%sContent-Length: 16\r\n\r\n" + BODY),
+    LENGTH_WITHOUT_BLANK("HTTP/1.1 200 OK\r\n%sContent-Length:16\r\n\r\n" + BODY),
+    LENGTH_BETWEEN_BLANKS("HTTP/1.1 200 OK\r\n%sContent-Length: \t 16\r\n\r\n" + BODY),
+    LENGTH_BEFORE_BLANKS("HTTP/1.1 200 OK\r\n%sContent-Length: 16 \t \r\n\r\n" + BODY),
+    LENGTH_WITH_ZEROS("HTTP/1.1 200 OK\r\n%sContent-Length: 0000000000000000000016\r\n\r\n" + BODY),
+    LENGTH_IN_OTHER_CASE("HTTP/1.1 200 OK\r\n%scONTENT-lENGTH: 16\r\n\r\n" + BODY),
+    LENGTH_FIRST("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n%s\r\n" + BODY),
+    EQUAL_LENGTHS("HTTP/1.1 200 OK\r\nContent-Length: 16\r\n%scontent-length: 16\r\n\r\n" + BODY),
+    LINE_FEEDS("HTTP/1.1 200 OK\n%sContent-Length: 16\n\n" + BODY),
+    SOME_LINE_FEEDS("HTTP/1.1 200 OK\r\n%sX-Field: a\nContent-Length: 16\r\n\r\n" + BODY),
+    TOKEN_NAMES(
+        "HTTP/1.1 200 OK\r\n!#$%%&'*+-.^_`|~09azAZ: a\r\n0: b\r\n%sContent-Length: 16\r\n\r\n"
+            + BODY),
+    SIMILAR_NAMES(
+        "HTTP/1.1 200 OK\r\nContent-Lengths: 9\r\nX-Content-Length: x\r\nContent-Lengt: +\r\n"
+            + "Transfer-Encodin: gzip\r\nTransfer-Encodings: gzip\r\n"
+            + "%sContent-Length: 16\r\n\r\n"
+            + BODY),
+    EMPTY_VALUES(
+        "HTTP/1.1 200 OK\r\nX-A:\r\nX-B: \r\nX-C:\t \r\n%sContent-Length: 16\r\n\r\n" + BODY),
+    VALUES_OF_ALL_BYTES(
+        "HTTP/1.1 200 OK\r\nX-A: a:b;c=\"d\" \t\u0080\u00e9\u00ff,: {[(~)]}\\\r\n"
+            + "%sContent-Length: 16\r\n\r\n"
+            + BODY),
+    REPEATED_FIELDS("HTTP/1.1 200 OK\r\nX-A: a\r\nX-A: b\r\n%sContent-Length: 16\r\n\r\n" + BODY),
+    MANY_FIELDS(
+        "HTTP/1.1 200 OK\r\n" + "X-A: a\r\n".repeat(100) + "%sContent-Length: 16\r\n\r\n" + BODY),
+    CHUNKS(
+        "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n10\r\n" + BODY + "\r\n0\r\n\r\n"),
+    CHUNKS_IN_OTHER_CASE(
+        "HTTP/1.1 200 OK\r\n%stransfer-ENCODING: \t Chunked \r\n\r\n10\r\n"
+            + BODY
+            + "\r\n0\r\n\r\n"),
+    MANY_CHUNKS(
+        "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+            + "00A\r\n0123456789\r\n1\r\na\r\n5\r\nbcdef\r\n000\r\n\r\n"),
+    CHUNK_EXTENSIONS(
+        "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+            + "a;x\r\n0123456789\r\n6;x=1;y=\"a b\"\r\nabcdef\r\n0;z=1\r\n\r\n"),
+    TRAILER(
+        "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n10\r\n"
+            + BODY
+            + "\r\n0\r\nX-A: a\r\nX-B:\r\n\r\n"),
+    LENGTH_BESIDE_CHUNKS(
+        "HTTP/1.1 200 OK\r\n%sContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"
+            + BODY
+            + "\r\n0\r\n\r\n"),
+    CONTINUED(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 16\r\n\r\n" + BODY);
+
+    private final String format;
+
+    Unusual(String format) {
+      this.format = format;
+    }
+  }
+
+  /** Answers without a body, which may state the length of one. */
+  enum Bodiless {
+    NO_CONTENT("HTTP/1.1 204 No Content\r\n%s\r\n", Call.READ),
+    NO_CONTENT_WITH_LENGTH("HTTP/1.1 204 No Content\r\n%sContent-Length: 0\r\n\r\n", Call.WRITE),
+    NOT_MODIFIED("HTTP/1.1 304 Not Modified\r\n%sETag: \"a\"\r\n\r\n", Call.READ),
+    EMPTY("HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", Call.READ),
+    EMPTY_CHUNKS("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Call.READ),
+    HEAD_WITH_LENGTH("HTTP/1.1 200 OK\r\n%sContent-Length: 16\r\n\r\n", Call.HEAD),
+    HEAD_WITH_CHUNKS("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", Call.HEAD),
+    HEAD_WITHOUT_LENGTH("HTTP/1.1 200 OK\r\n%s\r\n", Call.HEAD);
+
+    private final String format;
+    private final Call call;
+
+    Bodiless(String format, Call call) {
+      this.format = format;
+      this.call = call;
+    }
+  }
+
+  @BeforeAll
+  static void start() throws IOException {
+    for (MeshDialect dialect : MeshDialect.values()) {
+      MESHES.put(dialect, dialect.start());
+    }
+  }
+
+  @AfterAll
+  static void stop() throws Exception {
+    for (RelayMesh mesh : MESHES.values()) {
+      mesh.close();
+    }
+  }
+
+  private static Stream<Arguments> withMeshes(Stream<? extends Enum<?>> answers) {
+    return answers.flatMap(
+        answer ->
+            Stream.of(MeshDialect.values())
+                .flatMap(
+                    dialect ->
+                        Stream.of(0, 1)
+                            .flatMap(
+                                member ->
+                                    Stream.of(true, false)
+                                        .map(
+                                            isInParts ->
+                                                Arguments.of(
+                                                    answer, dialect, member, isInParts)))));
+  }
+
+  static Stream<Arguments> unusualAnswers() {
+    return withMeshes(Stream.of(Unusual.values()));
+  }
+
+  static Stream<Arguments> bodilessAnswers() {
+    return withMeshes(Stream.of(Bodiless.values()));
+  }
+
+  /** Writes an answer whose connection is kept. */
+  private static SocketUpstream.Script script(String format, boolean isInParts) {
+    return (request, socket) -> {
+      write(socket, String.format(format, RelayMesh.echo(request)), isInParts);
+      return true;
+    };
+  }
+
+  private static void write(Socket socket, String bytes, boolean isInParts) throws IOException {
+    if (isInParts) {
+      for (byte each : bytes.getBytes(StandardCharsets.ISO_8859_1)) {
+        socket.getOutputStream().write(each);
+      }
+    } else {
+      SocketUpstream.write(socket, bytes);
+    }
+  }
+
+  @ParameterizedTest
+  @MethodSource("unusualAnswers")
+  void shouldDeliverAnswerWhenHeadIsUnusualAndProper(
+      Unusual answer, MeshDialect dialect, int member, boolean isInParts) throws IOException {
+    RelayMesh mesh = MESHES.get(dialect);
+    mesh.renewUpstream();
+    mesh.upstream().setScript(script(answer.format, isInParts));
+
+    try (WireCaller caller = mesh.connect(member)) {
+      for (Call call : new Call[] {Call.READ, Call.WRITE}) {
+        WireMessage response = caller.send(call);
+
+        assertThat(response.status()).as("%s", response).isEqualTo(200);
+        assertThat(response.isComplete()).isTrue();
+        assertThat(response.body()).isEqualTo(BODY);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @MethodSource("bodilessAnswers")
+  void shouldDeliverAnswerWhenItHasNoBody(
+      Bodiless answer, MeshDialect dialect, int member, boolean isInParts) throws IOException {
+    RelayMesh mesh = MESHES.get(dialect);
+    mesh.renewUpstream();
+    mesh.upstream().setScript(script(answer.format, isInParts));
+
+    try (WireCaller caller = mesh.connect(member)) {
+      WireMessage response = caller.send(answer.call);
+      mesh.upstream().setScript(RelayMesh::answerSoundly);
+
+      String status = answer.format.substring("HTTP/1.1 ".length()).split(" ", 2)[0];
+      assertThat(response.status()).as("%s", response).isEqualTo(Integer.parseInt(status));
+      assertThat(response.body()).isEmpty();
+      assertThat(RelayMesh.isSound(caller.send(Call.READ))).isTrue();
+    }
+  }
+
+  /** The platform's servers may leave a length out and end their answer with its connection. */
+  @ParameterizedTest
+  @MethodSource("members")
+  void shouldDeliverAnswerThatEndsWithItsConnection(int member) throws IOException {
+    RelayMesh mesh = MESHES.get(MeshDialect.PLATFORM);
+    mesh.renewUpstream();
+    mesh.upstream()
+        .setScript(
+            (request, socket) -> {
+              SocketUpstream.write(
+                  socket, "HTTP/1.1 200 OK\r\n" + RelayMesh.echo(request) + "\r\n" + BODY);
+              return false;
+            });
+
+    try (WireCaller caller = mesh.connect(member)) {
+      WireMessage response = caller.send(Call.READ);
+
+      assertThat(response.status()).isEqualTo(200);
+      assertThat(response.body()).isEqualTo(BODY);
+    }
+  }
+
+  static Stream<Integer> members() {
+    return Stream.of(0, 1);
+  }
+}
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/WireMessage.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/WireMessage.java
@@ -34,6 +34,17 @@
     return readHead(input).withBody(input);
   }
 
+  /**
+   * Reads a response, as far as it arrives.
+   *
+   * @param isBodyRequested whether a response to the request may have a body
+   */
+  static WireMessage readResponse(InputStream input, boolean isBodyRequested) throws IOException {
+    WireMessage head = readHead(input);
+    boolean hasBody = isBodyRequested && head.status() != 204 && head.status() != 304;
+    return hasBody ? head.withBody(input) : head;
+  }
+
   private static WireMessage readHead(InputStream input) throws IOException {
     String startLine = readLine(input);
     Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedConnection.java
@@ -6,6 +6,7 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.util.Methods;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -14,8 +15,8 @@
 import org.xnio.XnioIoThread;
 
 /**
- * A client connection on which the bytes of each response outside its body are bounded. Confined to
- * the input/output thread of the connection.
+ * A client connection on which each response is checked and its bytes outside its body are bounded.
+ * Confined to the input/output thread of the connection.
  */
 public final class BoundedConnection implements Closeable {
   private final ClientConnection connection;
@@ -43,7 +44,7 @@
    *     has its response
    */
   public void send(ClientRequest request, ClientCallback<ClientExchange> callback) {
-    responses.expectHead();
+    responses.expectHead(request.getMethod().equals(Methods.HEAD));
     connection.sendRequest(request, callback);
   }
 
@@ -66,6 +67,14 @@
     return connection.isOpen();
   }
 
+  /**
+   * Returns whether the connection is open and nothing has arrived on it that belongs to no
+   * request. May be called by any thread.
+   */
+  public boolean isReusable() {
+    return connection.isOpen() && responses.isReusable();
+  }
+
   /** Returns the thread to which the connection is confined. */
   public XnioIoThread thread() {
     return connection.getIoThread();
@@ -78,7 +87,7 @@
   public boolean isSilent() {
     turn.renewTurn();
     try {
-      return connection.isOpen() && stream.getSourceChannel().read(ByteBuffer.allocate(1)) == 0;
+      return isReusable() && stream.getSourceChannel().read(ByteBuffer.allocate(1)) == 0;
     } catch (IOException e) {
       return false;
     }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedResponseConduit.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/BoundedResponseConduit.java
@@ -2,16 +2,23 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.util.Optional;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitReadableByteChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Bounds the bytes of each response on a client connection that are not part of its body: its head,
- * the lines around chunks and the trailers. The parsers of the HTTP client keep or skip all that
- * they read, however much arrives.
+ * Checks the responses on a client connection before the HTTP client reads them, and bounds the
+ * bytes of each that are not part of its body: its head, the lines around chunks and the trailers.
+ * The parsers of the HTTP client keep or skip all that they read, however much arrives.
  *
- * <p>A read fails once there are too many, which ends the exchange and its connection. Confined to
- * the input/output thread of the connection.
+ * <p>A read fails once a response is malformed or has too many such bytes, and each later read
+ * does, which ends the exchange and its connection. Bytes behind a response are withheld; the
+ * connection cannot be used for another one. Confined to the input/output thread of the connection,
+ * except for {@link #isReusable}.
  */
 final class BoundedResponseConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
   /** The size of a head in bytes, with all informational responses before it. */
@@ -20,22 +27,13 @@
   /** Bytes between two bytes of a body, and after the last one: several buffers of a transfer. */
   static final int MAXIMUM_BYTES_WITHOUT_BODY = 128 * 1024;
 
-  /** Lines of one head. Below the number at which the parser of the client gives up. */
-  static final int MAXIMUM_LINES = 150;
-
-  /** The place of the first digit of the status in {@code HTTP/1.1 200}. */
-  private static final int STATUS_COLUMN = 9;
-
-  private static final char INFORMATIONAL = '1';
-
+  private final ResponseReader reader = new ResponseReader();
+  private Optional<UnusableResponseException> failure = Optional.empty();
+  private volatile boolean isReusable = true;
   private boolean isHeadExpected;
   private boolean isBodyExpected;
   private long bytesWithoutBody;
   private int remainingBytes;
-  private boolean isInLines;
-  private boolean isInformational;
-  private int lines;
-  private int column;
 
   BoundedResponseConduit(StreamSourceConduit next) {
     super(next);
@@ -43,12 +41,16 @@
 
   // -- events
 
-  /** Bounds what is read from now on, until the head of the next response is complete. */
-  void expectHead() {
+  /**
+   * Bounds what is read from now on, until the head of the next response is complete.
+   *
+   * @param isHeadRequest whether the method of the request is {@code HEAD}
+   */
+  void expectHead(boolean isHeadRequest) {
     isHeadExpected = true;
     isBodyExpected = false;
     remainingBytes = MAXIMUM_HEAD_BYTES;
-    startHead();
+    reader.expectResponse(isHeadRequest);
   }
 
   /** Records that the head is complete, and that a body may follow. */
@@ -63,53 +65,61 @@
     bytesWithoutBody = 0;
   }
 
-  private void startHead() {
-    isInLines = true;
-    isInformational = false;
-    lines = 0;
-    column = 0;
+  // -- queries
+
+  /** Returns whether all that has arrived belongs to responses. May be called by any thread. */
+  boolean isReusable() {
+    return isReusable;
   }
 
   // -- reading
 
   @Override
   public int read(ByteBuffer target) throws IOException {
-    if (!isHeadExpected) {
-      return (int) countWithoutBody(next.read(target));
+    if (failure.isPresent()) {
+      throw failure.get();
     }
+    try {
+      return isHeadExpected ? readHead(target) : countWithoutBody(readResponse(target));
+    } catch (UnusableResponseException e) {
+      isReusable = false;
+      failure = Optional.of(e);
+      throw e;
+    }
+  }
+
+  private int readHead(ByteBuffer target) throws IOException {
     if (remainingBytes == 0) {
       throw new OversizedResponseException("head larger than " + MAXIMUM_HEAD_BYTES + " bytes");
     }
-    int start = target.position();
     int limit = target.limit();
-    target.limit(Math.min(limit, start + remainingBytes));
-    int count;
+    target.limit(Math.min(limit, target.position() + remainingBytes));
     try {
-      count = next.read(target);
+      int count = readResponse(target);
+      remainingBytes -= Math.max(0, count);
+      return count;
     } finally {
       target.limit(limit);
     }
-    for (int index = start; index < start + count; index++) {
-      count((char) target.get(index));
-    }
-    remainingBytes -= Math.max(0, count);
-    return count;
   }
 
-  @Override
-  public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
-    if (!isHeadExpected) {
-      return countWithoutBody(next.read(targets, offset, length));
+  /** Reads bytes of the response; what follows it is withheld. */
+  private int readResponse(ByteBuffer target) throws IOException {
+    int start = target.position();
+    int count = next.read(target);
+    if (count <= 0) {
+      return count;
     }
-    for (int index = offset; index < offset + length; index++) {
-      if (targets[index].hasRemaining()) {
-        return read(targets[index]);
-      }
+    int end = reader.read(target, start, start + count);
+    if (end == start) {
+      throw new MalformedResponseException("bytes that belong to no request");
     }
-    return 0;
+    isReusable &= end == start + count;
+    target.position(end);
+    return end - start;
   }
 
-  private long countWithoutBody(long count) throws IOException {
+  private int countWithoutBody(int count) throws IOException {
     bytesWithoutBody += isBodyExpected ? Math.max(0, count) : 0;
     if (bytesWithoutBody > MAXIMUM_BYTES_WITHOUT_BODY) {
       throw new OversizedResponseException(
@@ -118,28 +128,24 @@
     return count;
   }
 
-  private void count(char next) throws IOException {
-    if (!isInLines) {
-      return;
-    }
-    if (next == '\n') {
-      endLine();
-    } else if (next != '\r') {
-      isInformational |= lines == 0 && column == STATUS_COLUMN && next == INFORMATIONAL;
-      column++;
+  @Override
+  public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+    for (int index = offset; index < offset + length; index++) {
+      if (targets[index].hasRemaining()) {
+        return read(targets[index]);
+      }
     }
+    return 0;
   }
 
-  private void endLine() throws IOException {
-    boolean isEndOfHead = column == 0 && lines > 0;
-    column = 0;
-    lines++;
-    if (isEndOfHead && isInformational) {
-      startHead();
-    } else if (isEndOfHead) {
-      isInLines = false;
-    } else if (lines > MAXIMUM_LINES) {
-      throw new OversizedResponseException("head of more than " + MAXIMUM_LINES + " lines");
-    }
+  @Override
+  public long transferTo(long position, long count, FileChannel target) throws IOException {
+    return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
+  }
+
+  @Override
+  public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target)
+      throws IOException {
+    return IoUtils.transfer(new ConduitReadableByteChannel(this), count, throughBuffer, target);
   }
 }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/HttpClient.java
@@ -123,7 +123,8 @@
     Deque<BoundedConnection> idleConnections =
         idle.computeIfAbsent(address, unused -> new ConcurrentLinkedDeque<>());
     BoundedConnection pooled = idleConnections.pollFirst();
-    while (pooled != null && !pooled.isOpen()) {
+    while (pooled != null && !pooled.isReusable()) {
+      IoUtils.safeClose(pooled);
       pooled = idleConnections.pollFirst();
     }
     if (pooled != null) {
@@ -154,7 +155,7 @@
 
   private void returnToPool(String address, BoundedConnection connection) {
     Deque<BoundedConnection> idleConnections = idle.get(address);
-    if (connection.isOpen() && idleConnections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
+    if (connection.isReusable() && idleConnections.size() < IDLE_CONNECTIONS_PER_ADDRESS) {
       idleConnections.addFirst(connection);
     } else {
       IoUtils.safeClose(connection);
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/OversizedResponseException.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/OversizedResponseException.java
@@ -1,9 +1,7 @@
 package org.parsleycart.link.http;
 
-import java.io.IOException;
-
 /** A response has more bytes than a bound allows. */
-public final class OversizedResponseException extends IOException {
+public final class OversizedResponseException extends UnusableResponseException {
   private static final long serialVersionUID = 1;
 
   OversizedResponseException(String excess) {
--- /dev/null
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/ResponseReader.java
@@ -0,0 +1,177 @@
+package org.parsleycart.link.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/**
+ * Reads the responses on a client connection as RFC 9112 defines them, and rejects what is none.
+ * Each byte outside the data of a body is looked at once; data is skipped. The parsers of the HTTP
+ * client accept more, and what they make of it differs from what the server meant.
+ */
+final class ResponseReader {
+  /** Lines of one head. Below the number at which the parser of the client gives up. */
+  static final int MAXIMUM_LINES = 150;
+
+  private static final int MINIMUM_FINAL_STATUS = 200;
+  private static final int SWITCHING_PROTOCOLS = 101;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
+  private Phase phase = Phase.COMPLETE;
+  private boolean isHeadRequest;
+  private StatusLineReader statusLine = new StatusLineReader();
+  private ResponseLength length = new ResponseLength();
+  private FieldSectionReader fields = FieldSectionReader.ofHead(length);
+  private ChunkedBodyReader chunks = new ChunkedBodyReader();
+  private long remainingBody;
+
+  private enum Phase {
+    STATUS_LINE {
+      @Override
+      int read(ResponseReader reader, ByteBuffer buffer, int start, int end) throws IOException {
+        for (int index = start; index < end; index++) {
+          if (reader.statusLine.read(Byte.toUnsignedInt(buffer.get(index)))) {
+            reader.phase = FIELDS;
+            return index + 1;
+          }
+        }
+        return end;
+      }
+    },
+    FIELDS {
+      @Override
+      int read(ResponseReader reader, ByteBuffer buffer, int start, int end) throws IOException {
+        for (int index = start; index < end; index++) {
+          if (reader.fields.read(Byte.toUnsignedInt(buffer.get(index)))) {
+            reader.endHead();
+            return index + 1;
+          }
+          if (reader.fields.lines() >= MAXIMUM_LINES) {
+            throw new OversizedResponseException("head of more than " + MAXIMUM_LINES + " lines");
+          }
+        }
+        return end;
+      }
+    },
+    BODY_OF_KNOWN_LENGTH {
+      @Override
+      int read(ResponseReader reader, ByteBuffer buffer, int start, int end) {
+        int count = (int) Math.min(reader.remainingBody, end - start);
+        reader.remainingBody -= count;
+        reader.phase = reader.remainingBody == 0 ? COMPLETE : BODY_OF_KNOWN_LENGTH;
+        return start + count;
+      }
+    },
+    BODY_IN_CHUNKS {
+      @Override
+      int read(ResponseReader reader, ByteBuffer buffer, int start, int end) throws IOException {
+        int index = start;
+        while (index < end) {
+          int data = (int) Math.min(reader.chunks.remainingData(), end - index);
+          if (data > 0) {
+            reader.chunks.skip(data);
+            index += data;
+          } else if (reader.chunks.read(Byte.toUnsignedInt(buffer.get(index++)))) {
+            reader.phase = COMPLETE;
+            return index;
+          }
+        }
+        return end;
+      }
+    },
+    BODY_UNTIL_CLOSE {
+      @Override
+      int read(ResponseReader reader, ByteBuffer buffer, int start, int end) {
+        return end;
+      }
+    },
+    COMPLETE {
+      @Override
+      int read(ResponseReader reader, ByteBuffer buffer, int start, int end) {
+        return start;
+      }
+    };
+
+    /**
+     * Reads bytes until the phase changes or there are no more.
+     *
+     * @return the index of the first byte that was not read
+     */
+    abstract int read(ResponseReader reader, ByteBuffer buffer, int start, int end)
+        throws IOException;
+  }
+
+  // -- reading
+
+  /**
+   * Expects the response to a request.
+   *
+   * @param isHead whether the method of the request is {@code HEAD}
+   */
+  void expectResponse(boolean isHead) {
+    isHeadRequest = isHead;
+    startHead();
+  }
+
+  private void startHead() {
+    statusLine = new StatusLineReader();
+    length = new ResponseLength();
+    fields = FieldSectionReader.ofHead(length);
+    phase = Phase.STATUS_LINE;
+  }
+
+  /**
+   * Reads bytes up to the end of the response.
+   *
+   * @param start the index of the first byte
+   * @param end the index behind the last byte
+   * @return the index behind the last byte of the response, {@code end} if it is not complete
+   * @throws MalformedResponseException if the bytes are no response
+   * @throws OversizedResponseException if the head has too many lines
+   */
+  int read(ByteBuffer buffer, int start, int end) throws IOException {
+    int index = start;
+    while (index < end && phase != Phase.COMPLETE) {
+      index = phase.read(this, buffer, index, end);
+    }
+    return index;
+  }
+
+  private void endHead() throws MalformedResponseException {
+    if (length.isChunked() && !statusLine.definesTransferCodings()) {
+      throw new MalformedResponseException("a transfer coding in a message of HTTP/1.0");
+    }
+    if (isInformational()) {
+      startHead();
+      return;
+    }
+    phase = phaseOfBody();
+    remainingBody = length.contentLength().orElse(0);
+    chunks = new ChunkedBodyReader();
+  }
+
+  private boolean isInformational() {
+    return statusLine.status() < MINIMUM_FINAL_STATUS && statusLine.status() != SWITCHING_PROTOCOLS;
+  }
+
+  private Phase phaseOfBody() {
+    if (!hasBody()) {
+      return Phase.COMPLETE;
+    }
+    if (length.isChunked()) {
+      return Phase.BODY_IN_CHUNKS;
+    }
+    if (length.contentLength().isEmpty()) {
+      return Phase.BODY_UNTIL_CLOSE;
+    }
+    return length.contentLength().getAsLong() == 0 ? Phase.COMPLETE : Phase.BODY_OF_KNOWN_LENGTH;
+  }
+
+  private boolean hasBody() {
+    int status = statusLine.status();
+    return !isHeadRequest
+        && status >= MINIMUM_FINAL_STATUS
+        && status != NO_CONTENT
+        && status != NOT_MODIFIED;
+  }
+}
