Pass on a length once when a response repeats it

Callers saw: two Content-Length fields where a server had sent its length in two equal lines, which other recipients may reject or read in two ways.

Cause: end-to-end fields are copied with all their values. RFC 9110, section 8.6, asks a recipient that takes such a response to replace the repeated length by one.

Evidence: UnusualAnswerTest#shouldPassOnOneLengthWhenTwoAreEqual, red before the change over one hop and two, green after it.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
@@ -8,6 +8,7 @@
 import io.undertow.util.Protocols;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -76,6 +77,9 @@
       // Chunks override a length (RFC 9112, section 6.3), which may be shorter than the body.
       headers.remove(Headers.CONTENT_LENGTH);
     }
+    // A repeated length is passed on once (RFC 9110, section 8.6); the values are equal.
+    Optional.ofNullable(headers.getFirst(Headers.CONTENT_LENGTH))
+        .ifPresent(length -> headers.put(Headers.CONTENT_LENGTH, length));
     if (!headers.contains(Headers.CONTENT_LENGTH)
         && hasBody(exchange, exchange.getStatusCode())
         && exchange.getProtocol().equals(Protocols.HTTP_1_1)) {
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
@@ -226,4 +227,19 @@
   static Stream<Integer> members() {
     return Stream.of(0, 1);
   }
+
+  /** Guards against a length that is passed on twice, which other recipients may reject. */
+  @ParameterizedTest
+  @MethodSource("members")
+  void shouldPassOnOneLengthWhenTwoAreEqual(int member) throws IOException {
+    RelayMesh mesh = MESHES.get(MeshDialect.PARSLEYCART);
+    mesh.upstream().setScript(script(Unusual.EQUAL_LENGTHS.format, false));
+
+    try (WireCaller caller = mesh.connect(member)) {
+      String response = caller.sendLast(Call.READ);
+
+      assertThat(response).startsWith("HTTP/1.1 200 ").endsWith(BODY);
+      assertThat(response.toLowerCase(Locale.ROOT).split("content-length", -1)).hasSize(2);
+    }
+  }
 }
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/WireCaller.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/WireCaller.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 
 /** A caller on a plain socket, whose connection is kept from call to call. */
 final class WireCaller implements AutoCloseable {
@@ -48,6 +49,17 @@
 
   /** Sends a call and reads its response as far as it arrives. */
   WireMessage send(Call call) throws IOException {
+    write(call, "");
+    return WireMessage.readResponse(input, call.hasResponseBody());
+  }
+
+  /** Sends the last call of the connection; returns all bytes that arrive, each as a character. */
+  String sendLast(Call call) throws IOException {
+    write(call, "Connection: close\r\n");
+    return new String(input.readAllBytes(), StandardCharsets.ISO_8859_1);
+  }
+
+  private void write(Call call, String field) throws IOException {
     calls++;
     SocketUpstream.write(
         socket,
@@ -55,8 +67,8 @@
             + " HTTP/1.1\r\nHost: mesh.example\r\nParsleycart-Attempt-Id: q"
             + calls
             + "\r\nParsleycart-Deadline-Ms: 5000\r\n"
+            + field
             + call.rest);
-    return WireMessage.readResponse(input, call.hasResponseBody());
   }
 
   @Override
