Log why a response was rejected

A rejected response left a fault (UNUSABLE) on the line of its attempt, and nothing said what was wrong with it. Each now has a line at the daemon that rejected it, with the address, the request and the byte or field at fault.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -19,6 +19,7 @@
 import org.parsleycart.decision.AttemptOutcome;
 import org.parsleycart.link.http.BoundedConnection;
 import org.parsleycart.link.http.UnusableResponseException;
+import org.tinylog.Logger;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
@@ -233,6 +234,7 @@
 
           @Override
           public void sourceFailed(IOException cause) {
+            logIfRejected(cause);
             endAndClose(new AttemptResult(AttemptOutcome.UNKNOWN, true, Fault.BROKEN, status));
             ResponseFraming.abort(exchange);
           }
@@ -269,9 +271,20 @@
 
   private void responseFailed(IOException cause) {
     Fault fault = cause instanceof UnusableResponseException ? Fault.UNUSABLE : Fault.BROKEN;
+    logIfRejected(cause);
     endAndClose(AttemptResult.undelivered(AttemptOutcome.UNKNOWN, fault));
   }
 
+  private void logIfRejected(IOException cause) {
+    if (!isEnded && cause instanceof UnusableResponseException) {
+      Logger.warn(
+          "response of {} to request {} rejected, outcome unknown: {}",
+          attempt.address(),
+          attempt.requestIdentifier(),
+          cause.getMessage());
+    }
+  }
+
   private void callerDisconnected() {
     AttemptOutcome outcome = connection == null ? AttemptOutcome.NOT_RUN : AttemptOutcome.UNKNOWN;
     endAndClose(new AttemptResult(outcome, true, Fault.CALLER_GONE, OptionalInt.empty()));
