Skip informational responses other than 100

Callers saw: 502 where an upstream had sent 102 or 103 before its answer, which RFC 9110, section 15.2, requires a client to parse.

Cause: the HTTP client skips 100 only and takes any other informational response for the final one.

Change: ResponseReader shows the client their status as 100, except for 101, after which no HTTP follows.

--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
@@ -78,6 +78,10 @@
         "HTTP/1.1 200 OK\r\n%sContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"
             + BODY
             + "\r\n0\r\n\r\n"),
+    EARLY_HINTS(
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+            + "HTTP/1.1 200 OK\r\n%sContent-Length: 16\r\n\r\n"
+            + BODY),
     CONTINUED(
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 16\r\n\r\n" + BODY);
 
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/ResponseReader.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/ResponseReader.java
@@ -7,13 +7,16 @@
  * Reads the responses on a client connection as RFC 9112 defines them, and rejects what is none.
  * Each byte outside the data of a body is looked at once; data is skipped. The parsers of the HTTP
  * client accept more, and what they make of it differs from what the server meant.
+ *
+ * <p>The client takes informational responses other than 100 for final ones. In the buffer their
+ * status becomes 100, so that the client skips them (RFC 9110, section 15.2).
  */
 final class ResponseReader {
   /** Lines of one head. Below the number at which the parser of the client gives up. */
   static final int MAXIMUM_LINES = 150;
 
   private static final int MINIMUM_FINAL_STATUS = 200;
-  private static final int SWITCHING_PROTOCOLS = 101;
+  static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
 
@@ -30,7 +33,11 @@
       @Override
       int read(ResponseReader reader, ByteBuffer buffer, int start, int end) throws IOException {
         for (int index = start; index < end; index++) {
-          if (reader.statusLine.read(Byte.toUnsignedInt(buffer.get(index)))) {
+          boolean isEnd = reader.statusLine.read(Byte.toUnsignedInt(buffer.get(index)));
+          if (reader.statusLine.isDigitOfOtherInformationalStatus()) {
+            buffer.put(index, (byte) '0');
+          }
+          if (isEnd) {
             reader.phase = FIELDS;
             return index + 1;
           }
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/StatusLineReader.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/StatusLineReader.java
@@ -12,6 +12,7 @@
   private int position;
   private int minorVersion;
   private int status;
+  private boolean isOtherInformational;
 
   private enum State {
     VERSION {
@@ -52,6 +53,7 @@
         }
         line.status = line.status * DECIMAL + Octets.digit(octet);
         line.position++;
+        line.isOtherInformational = line.isOtherInformational();
         return line.position < STATUS_DIGITS ? STATUS : line.checkedStatus();
       }
     },
@@ -107,12 +109,31 @@
     return State.BEHIND_STATUS;
   }
 
+  /** Returns whether the digits so far are those of an informational status but 100 and 101. */
+  private boolean isOtherInformational() {
+    return switch (position) {
+      case 2 -> status / DECIMAL == 1;
+      case STATUS_DIGITS ->
+          status / (DECIMAL * DECIMAL) == 1 && status != ResponseReader.SWITCHING_PROTOCOLS;
+      default -> false;
+    };
+  }
+
   /** Reads a byte; returns whether it ends the line. */
   boolean read(int octet) throws MalformedResponseException {
+    isOtherInformational = false;
     state = state.next(this, octet);
     return state == State.END;
   }
 
+  /**
+   * Returns whether the last byte is a digit that must be read as {@code 0} by readers that know
+   * only the informational statuses 100 and 101.
+   */
+  boolean isDigitOfOtherInformationalStatus() {
+    return isOtherInformational;
+  }
+
   /** Returns the status code, once the line has ended. */
   int status() {
     return status;
--- a/parsleycart-link/src/test/java/org/parsleycart/link/http/ResponseReaderTest.java
+++ b/parsleycart-link/src/test/java/org/parsleycart/link/http/ResponseReaderTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -186,6 +187,24 @@
     assertEnds(response, true);
   }
 
+  /** Guards against an informational response that is taken for the final one. */
+  @ParameterizedTest
+  @CsvSource({"100, 100", "101, 101", "102, 100", "103, 100", "110, 100", "111, 100", "199, 100"})
+  void shouldShowOtherInformationalResponsesAsContinue(String sent, String shown)
+      throws IOException {
+    byte[] bytes = "HTTP/1.1 %s A\r\n\r\n".formatted(sent).getBytes(StandardCharsets.ISO_8859_1);
+    ByteBuffer buffer = ByteBuffer.wrap(bytes);
+    ResponseReader reader = new ResponseReader();
+    reader.expectResponse(false);
+
+    for (int index = 0; index < bytes.length; index++) {
+      reader.read(buffer, index, index + 1);
+    }
+
+    assertThat(new String(bytes, StandardCharsets.ISO_8859_1))
+        .isEqualTo("HTTP/1.1 %s A\r\n\r\n", shown);
+  }
+
   @Test
   void shouldTakeAllBytesWhenTheBodyEndsWithItsConnection() throws IOException {
     String response = "HTTP/1.1 200 OK\r\n\r\n";
