Deliver a 304 that states the length of the body that it does not have

Callers saw: a reset over one hop and 504 over two, where an upstream answered 304 with a Content-Length (RFC 9110, section 15.4.5).

Cause: the HTTP client and its server both take the length for that of a body, one waits for it and the other refuses to end without it.

Evidence: NOT_MODIFIED_WITH_LENGTH of UnusualAnswerTest, red before the change in 8 of 8 cases, green after it.

Change: such a response is delivered without its length, and the connection from which the client still awaits a body is closed once the attempt has ended.

--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptExecution.java
@@ -22,6 +22,7 @@
 import org.tinylog.Logger;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
+import org.xnio.channels.EmptyStreamSourceChannel;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -221,15 +222,18 @@
     ResponseFraming.frame(exchange, response);
     attempt.listener().beforeDelivery(exchange);
     OptionalInt status = OptionalInt.of(response.getResponseCode());
+    boolean isBodyAwaited = ResponseFraming.isLengthWithoutBody(response);
     BodyTransfer.start(
-        answeredExchange.getResponseChannel(),
+        isBodyAwaited
+            ? new EmptyStreamSourceChannel(exchange.getIoThread())
+            : answeredExchange.getResponseChannel(),
         exchange.getResponseChannel(),
         callerBuffers(),
         connection::bodyReceived,
         new BodyTransfer.Listener() {
           @Override
           public void completed() {
-            delivered(status);
+            delivered(status, isBodyAwaited);
           }
 
           @Override
@@ -251,13 +255,18 @@
     return attempt.exchange().getConnection().getByteBufferPool();
   }
 
-  private void delivered(OptionalInt status) {
+  private void delivered(OptionalInt status, boolean isBodyAwaited) {
+    AttemptResult result = new AttemptResult(AttemptOutcome.ANSWERED, true, Fault.NONE, status);
+    if (isBodyAwaited) {
+      endAndClose(result);
+      return;
+    }
     if (!isEnded && isRequestSent && isEchoed) {
       pool.release(attempt.address(), connection, maximumIdleTime);
     } else if (!isEnded) {
       connection.abandon();
     }
-    end(new AttemptResult(AttemptOutcome.ANSWERED, true, Fault.NONE, status));
+    end(result);
   }
 
   // -- failing
--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/ResponseFraming.java
@@ -62,6 +62,15 @@
         && status != StatusCodes.NOT_MODIFIED;
   }
 
+  /**
+   * Returns whether the response has no body and states the length that one would have (RFC 9110,
+   * section 15.4.5). The HTTP client waits for such a body.
+   */
+  static boolean isLengthWithoutBody(ClientResponse response) {
+    return response.getResponseCode() == StatusCodes.NOT_MODIFIED
+        && response.getResponseHeaders().contains(Headers.CONTENT_LENGTH);
+  }
+
   // -- operations
 
   /**
@@ -73,8 +82,10 @@
    */
   static void frame(HttpServerExchange exchange, ClientResponse response) {
     HeaderMap headers = exchange.getResponseHeaders();
-    if (response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)) {
-      // Chunks override a length (RFC 9112, section 6.3), which may be shorter than the body.
+    if (response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)
+        || isLengthWithoutBody(response)) {
+      // Chunks override a length (RFC 9112, section 6.3), which may be shorter than the body. For a
+      // length without a body the server would wait for one.
       headers.remove(Headers.CONTENT_LENGTH);
     }
     // A repeated length is passed on once (RFC 9110, section 8.6); the values are equal.
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
@@ -97,6 +97,8 @@
     NO_CONTENT("HTTP/1.1 204 No Content\r\n%s\r\n", Call.READ),
     NO_CONTENT_WITH_LENGTH("HTTP/1.1 204 No Content\r\n%sContent-Length: 0\r\n\r\n", Call.WRITE),
     NOT_MODIFIED("HTTP/1.1 304 Not Modified\r\n%sETag: \"a\"\r\n\r\n", Call.READ),
+    NOT_MODIFIED_WITH_LENGTH(
+        "HTTP/1.1 304 Not Modified\r\n%sContent-Length: 16\r\n\r\n", Call.READ),
     EMPTY("HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", Call.READ),
     EMPTY_CHUNKS("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Call.READ),
     HEAD_WITH_LENGTH("HTTP/1.1 200 OK\r\n%sContent-Length: 16\r\n\r\n", Call.HEAD),
