--- a/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
+++ b/parsleycart-daemon/src/main/java/org/parsleycart/daemon/call/AttemptResult.java
@@ -31,8 +31,8 @@
     /** The deadline passed. */
     LATE,
     /**
-     * The response belonged to another request, had no length to prove it complete, or had an
-     * oversized head.
+     * The response belonged to another request, had no length to prove it complete, was malformed
+     * or had an oversized head.
      */
     UNUSABLE,
     /** The upstream reported that it did not run the request. */
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedHeadTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedHeadTest.java
@@ -26,6 +26,8 @@
  */
 class MalformedHeadTest {
   private static final Map<MeshDialect, RelayMesh> MESHES = new EnumMap<>(MeshDialect.class);
+  private static final List<Call> CALLS = List.of(Call.values());
+  private static final List<Place> PLACES = List.of(Place.values());
   private static final List<String> STATUSES =
       List.of(
           "200 OK",
@@ -118,8 +120,8 @@
     return IntStream.range(0, 24)
         .mapToObj(
             index -> {
-              Call call = Call.values()[index % 3];
-              Place place = Place.values()[index / 3 % 2];
+              Call call = CALLS.get(index % 3);
+              Place place = PLACES.get(index / 3 % 2);
               boolean hasLength = index / 6 % 2 == 0;
               boolean isKept = index / 12 % 2 == 0;
               String status = STATUSES.get((index + index / 3 + index / 12) % 3);
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
@@ -22,6 +22,7 @@
  * and RFC 9112 allow, though few servers send them.
  */
 class UnusualAnswerTest {
+  private static final String CHUNKED = "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n";
   private static final String BODY = "0123456789abcdef";
   private static final Map<MeshDialect, RelayMesh> MESHES = new EnumMap<>(MeshDialect.class);
 
@@ -58,22 +59,14 @@
     REPEATED_FIELDS("HTTP/1.1 200 OK\r\nX-A: a\r\nX-A: b\r\n%sContent-Length: 16\r\n\r\n" + BODY),
     MANY_FIELDS(
         "HTTP/1.1 200 OK\r\n" + "X-A: a\r\n".repeat(100) + "%sContent-Length: 16\r\n\r\n" + BODY),
-    CHUNKS(
-        "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n10\r\n" + BODY + "\r\n0\r\n\r\n"),
+    CHUNKS(CHUNKED + "10\r\n" + BODY + "\r\n0\r\n\r\n"),
     CHUNKS_IN_OTHER_CASE(
         "HTTP/1.1 200 OK\r\n%stransfer-ENCODING: \t Chunked \r\n\r\n10\r\n"
             + BODY
             + "\r\n0\r\n\r\n"),
-    MANY_CHUNKS(
-        "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
-            + "00A\r\n0123456789\r\n1\r\na\r\n5\r\nbcdef\r\n000\r\n\r\n"),
-    CHUNK_EXTENSIONS(
-        "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
-            + "a;x\r\n0123456789\r\n6;x=1;y=\"a b\"\r\nabcdef\r\n0;z=1\r\n\r\n"),
-    TRAILER(
-        "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n10\r\n"
-            + BODY
-            + "\r\n0\r\nX-A: a\r\nX-B:\r\n\r\n"),
+    MANY_CHUNKS(CHUNKED + "00A\r\n0123456789\r\n1\r\na\r\n5\r\nbcdef\r\n000\r\n\r\n"),
+    CHUNK_EXTENSIONS(CHUNKED + "a;x\r\n0123456789\r\n6;x=1;y=\"a b\"\r\nabcdef\r\n0;z=1\r\n\r\n"),
+    TRAILER(CHUNKED + "10\r\n" + BODY + "\r\n0\r\nX-A: a\r\nX-B:\r\n\r\n"),
     LENGTH_BESIDE_CHUNKS(
         "HTTP/1.1 200 OK\r\n%sContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"
             + BODY
--- a/parsleycart-link/src/test/java/org/parsleycart/link/http/ResponseReaderTest.java
+++ b/parsleycart-link/src/test/java/org/parsleycart/link/http/ResponseReaderTest.java
@@ -165,8 +165,7 @@
         CHUNKED + "4\r\nbody\r\n0\r\n\r\n",
         CHUNKED + "0003;x=\"y\"\r\nbod\r\n1 ;z\r\ny\r\n00\r\n\r\n",
         CHUNKED + "A\r\n0123456789\r\na\r\n0123456789\r\n0;x\r\nX-Trailer: a\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: Chunked\r\n\r\n"
-            + "4\r\nbody\r\n0\r\n\r\n");
+        CHUNKED.replace("\r\nT", "\r\nContent-Length: 1\r\nT") + "4\r\nbody\r\n0\r\n\r\n");
   }
 
   @ParameterizedTest
