--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/ChunkedBodyReader.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/ChunkedBodyReader.java
@@ -1,13 +1,12 @@
 package org.parsleycart.link.http;
 
 /**
- * Reads what surrounds the data of a body in chunks byte by byte (RFC 9112, section 7.1): the lines
- * with the sizes, the ends of the chunks and the trailer. Extensions are ignored.
+ * Reads what surrounds the data of a body in chunks byte by byte, up to the trailer (RFC 9112,
+ * section 7.1): the lines with the sizes and the ends of the chunks. Extensions are ignored.
  */
 final class ChunkedBodyReader {
   private static final int HEXADECIMAL_DIGIT_BITS = 4;
 
-  private final FieldSectionReader trailer = FieldSectionReader.ofTrailer();
   private State state = State.START_OF_SIZE;
   private long size;
 
@@ -64,7 +63,7 @@
     SIZE_LINE_FEED {
       @Override
       State next(ChunkedBodyReader body, int octet) throws MalformedResponseException {
-        State following = body.size == 0 ? TRAILER : DATA;
+        State following = body.size == 0 ? END : DATA;
         return require(Octets.LINE_FEED, octet, "in the size of a chunk", following);
       }
     },
@@ -86,16 +85,10 @@
         return require(Octets.LINE_FEED, octet, "behind the data of a chunk", START_OF_SIZE);
       }
     },
-    TRAILER {
-      @Override
-      State next(ChunkedBodyReader body, int octet) throws MalformedResponseException {
-        return body.trailer.read(octet) ? END : TRAILER;
-      }
-    },
     END {
       @Override
       State next(ChunkedBodyReader body, int octet) {
-        throw new IllegalStateException("the body has ended");
+        throw new IllegalStateException("the last chunk has been read");
       }
     };
 
@@ -125,7 +118,7 @@
     size = (size << HEXADECIMAL_DIGIT_BITS) + digit;
   }
 
-  /** Reads a byte that is not data; returns whether it ends the body. */
+  /** Reads a byte that is not data; returns whether it ends the line of the last chunk. */
   boolean read(int octet) throws MalformedResponseException {
     state = state.next(this, octet);
     return state == State.END;
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/FramingField.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/FramingField.java
@@ -29,11 +29,16 @@
     this.lowerCaseName = lowerCaseName;
   }
 
-  /** Returns the field with a name, whose letters must be in lower case. */
+  /** Returns the field with a name in any case, empty if the field says nothing about the body. */
   static Optional<FramingField> ofName(CharSequence name) {
-    return Stream.of(CONTENT_LENGTH, TRANSFER_ENCODING)
-        .filter(field -> field.lowerCaseName.contentEquals(name))
-        .findFirst();
+    return CONTENT_LENGTH.hasName(name)
+        ? Optional.of(CONTENT_LENGTH)
+        : Optional.of(TRANSFER_ENCODING).filter(field -> field.hasName(name));
+  }
+
+  private boolean hasName(CharSequence name) {
+    return name.length() == lowerCaseName.length()
+        && name.toString().equalsIgnoreCase(lowerCaseName);
   }
 
   /** Records a value of the field, without the white space around it. */
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/Octets.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/Octets.java
@@ -1,5 +1,6 @@
 package org.parsleycart.link.http;
 
+import java.nio.ByteBuffer;
 import java.util.Locale;
 
 /** The classes of bytes of which messages consist, each byte as a number from 0 to 255. */
@@ -26,6 +27,11 @@
     return octets;
   }
 
+  /** Returns the byte of a buffer at an index. */
+  static int at(ByteBuffer buffer, int index) {
+    return Byte.toUnsignedInt(buffer.get(index));
+  }
+
   /** Returns whether a byte may be part of a token, such as the name of a field. */
   static boolean isToken(int octet) {
     return TOKEN[octet];
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/ResponseReader.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/ResponseReader.java
@@ -12,9 +12,6 @@
  * status becomes 100, so that the client skips them (RFC 9110, section 15.2).
  */
 final class ResponseReader {
-  /** Lines of one head. Below the number at which the parser of the client gives up. */
-  static final int MAXIMUM_LINES = 150;
-
   private static final int MINIMUM_FINAL_STATUS = 200;
   static final int SWITCHING_PROTOCOLS = 101;
   private static final int NO_CONTENT = 204;
@@ -33,7 +30,7 @@
       @Override
       int read(ResponseReader reader, ByteBuffer buffer, int start, int end) throws IOException {
         for (int index = start; index < end; index++) {
-          boolean isEnd = reader.statusLine.read(Byte.toUnsignedInt(buffer.get(index)));
+          boolean isEnd = reader.statusLine.read(Octets.at(buffer, index));
           if (reader.statusLine.isDigitOfOtherInformationalStatus()) {
             buffer.put(index, (byte) '0');
           }
@@ -48,16 +45,11 @@
     FIELDS {
       @Override
       int read(ResponseReader reader, ByteBuffer buffer, int start, int end) throws IOException {
-        for (int index = start; index < end; index++) {
-          if (reader.fields.read(Byte.toUnsignedInt(buffer.get(index)))) {
-            reader.endHead();
-            return index + 1;
-          }
-          if (reader.fields.lines() >= MAXIMUM_LINES) {
-            throw new OversizedResponseException("head of more than " + MAXIMUM_LINES + " lines");
-          }
+        int index = reader.fields.read(buffer, start, end);
+        if (reader.fields.isComplete()) {
+          reader.endHead();
         }
-        return end;
+        return index;
       }
     },
     BODY_OF_KNOWN_LENGTH {
@@ -78,14 +70,23 @@
           if (data > 0) {
             reader.chunks.skip(data);
             index += data;
-          } else if (reader.chunks.read(Byte.toUnsignedInt(buffer.get(index++)))) {
-            reader.phase = COMPLETE;
+          } else if (reader.chunks.read(Octets.at(buffer, index++))) {
+            reader.fields = FieldSectionReader.ofTrailer();
+            reader.phase = TRAILER;
             return index;
           }
         }
         return end;
       }
     },
+    TRAILER {
+      @Override
+      int read(ResponseReader reader, ByteBuffer buffer, int start, int end) throws IOException {
+        int index = reader.fields.read(buffer, start, end);
+        reader.phase = reader.fields.isComplete() ? COMPLETE : TRAILER;
+        return index;
+      }
+    },
     BODY_UNTIL_CLOSE {
       @Override
       int read(ResponseReader reader, ByteBuffer buffer, int start, int end) {
@@ -134,7 +135,7 @@
    * @param end the index behind the last byte
    * @return the index behind the last byte of the response, {@code end} if it is not complete
    * @throws MalformedResponseException if the bytes are no response
-   * @throws OversizedResponseException if the head has too many lines
+   * @throws OversizedResponseException if the head or the trailer has too many lines
    */
   int read(ByteBuffer buffer, int start, int end) throws IOException {
     int index = start;
@@ -154,7 +155,6 @@
     }
     phase = phaseOfBody();
     remainingBody = length.contentLength().orElse(0);
-    chunks = new ChunkedBodyReader();
   }
 
   private boolean isInformational() {
@@ -166,6 +166,7 @@
       return Phase.COMPLETE;
     }
     if (length.isChunked()) {
+      chunks = new ChunkedBodyReader();
       return Phase.BODY_IN_CHUNKS;
     }
     if (length.contentLength().isEmpty()) {
--- a/parsleycart-link/src/test/java/org/parsleycart/link/http/ResponseReaderTest.java
+++ b/parsleycart-link/src/test/java/org/parsleycart/link/http/ResponseReaderTest.java
@@ -295,7 +295,7 @@
 
   @Test
   void shouldRejectAHeadOfTooManyLines() {
-    String head = "HTTP/1.1 200 OK\r\n" + "X: a\r\n".repeat(ResponseReader.MAXIMUM_LINES);
+    String head = "HTTP/1.1 200 OK\r\n" + "X: a\r\n".repeat(FieldSectionReader.MAXIMUM_LINES);
 
     assertThatThrownBy(() -> read(head, false, 7)).isInstanceOf(OversizedResponseException.class);
   }
