Share the meshes of the tests of heads, and describe the states of the readers

Three test classes started the meshes, listed the daemons and wrote bytes one by one in the same words.

--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedChunksTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedChunksTest.java
@@ -4,9 +4,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.parsleycart.daemon.call.RelayMesh.Entry;
 import org.parsleycart.daemon.call.RelayMesh.MeshDialect;
 import org.parsleycart.daemon.call.WireCaller.Call;
 
@@ -25,7 +24,7 @@
  */
 class MalformedChunksTest {
   private static final String BODY = "0123456789abcdef";
-  private static final Map<MeshDialect, RelayMesh> MESHES = new EnumMap<>(MeshDialect.class);
+  private static Map<MeshDialect, RelayMesh> meshes;
 
   /** Bodies, each with one fault. */
   private static final List<String> BODIES =
@@ -62,37 +61,26 @@
 
   @BeforeAll
   static void start() throws IOException {
-    for (MeshDialect dialect : MeshDialect.values()) {
-      MESHES.put(dialect, dialect.start());
-    }
+    meshes = RelayMesh.startInEachDialect();
   }
 
   @AfterAll
   static void stop() throws Exception {
-    for (RelayMesh mesh : MESHES.values()) {
-      mesh.close();
-    }
+    RelayMesh.closeAll(meshes.values());
   }
 
   static Stream<Arguments> bodies() {
-    return Stream.of(MeshDialect.values())
+    return RelayMesh.entries()
         .flatMap(
-            dialect ->
-                Stream.of(0, 1)
-                    .flatMap(
-                        member ->
-                            BODIES.stream()
-                                .map(
-                                    body ->
-                                        Arguments.of(
-                                            dialect, member, MalformedHead.visible(body), body))));
+            entry ->
+                BODIES.stream()
+                    .map(body -> Arguments.of(entry, MalformedHead.visible(body), body)));
   }
 
-  @ParameterizedTest(name = "{0}, member {1}, {2}")
+  @ParameterizedTest(name = "{0}, {1}")
   @MethodSource("bodies")
-  void shouldNotLookCompleteWhenChunksAreMalformed(
-      MeshDialect dialect, int member, String name, String body) throws IOException {
-    RelayMesh mesh = MESHES.get(dialect);
+  void shouldNotLookCompleteWhenChunksAreMalformed(Entry entry, String name, String body) {
+    RelayMesh mesh = meshes.get(entry.dialect());
     mesh.renewUpstream();
     for (boolean isInParts : new boolean[] {false, true}) {
       for (Call call : new Call[] {Call.READ, Call.WRITE}) {
@@ -105,7 +93,7 @@
                   return true;
                 });
 
-        Optional<WireMessage> response = call(mesh, member, call);
+        Optional<WireMessage> response = call(mesh, entry.member(), call);
 
         assertThat(response.filter(any -> any.status() == 200 && any.isComplete())).isEmpty();
         mesh.upstream()
@@ -114,7 +102,8 @@
                   used.add(socket);
                   return RelayMesh.answerSoundly(request, socket);
                 });
-        assertThat(call(mesh, member, Call.READ)).matches(next -> RelayMesh.isSound(next.get()));
+        assertThat(call(mesh, entry.member(), Call.READ))
+            .matches(next -> RelayMesh.isSound(next.get()));
         assertThat(used).hasSize(2).doesNotHaveDuplicates();
       }
     }
@@ -129,9 +118,7 @@
             + "Parsleycart-Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
             + (isInParts ? "" : body));
     if (isInParts) {
-      for (byte each : body.getBytes(StandardCharsets.ISO_8859_1)) {
-        socket.getOutputStream().write(each);
-      }
+      SocketUpstream.writeInParts(socket, body);
     }
   }
 
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedHeadTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedHeadTest.java
@@ -4,9 +4,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.parsleycart.daemon.call.RelayMesh.Entry;
 import org.parsleycart.daemon.call.RelayMesh.MeshDialect;
 import org.parsleycart.daemon.call.WireCaller.Call;
 
@@ -25,7 +24,7 @@
  * that is no field passed on or with a body that is not the one of the upstream.
  */
 class MalformedHeadTest {
-  private static final Map<MeshDialect, RelayMesh> MESHES = new EnumMap<>(MeshDialect.class);
+  private static Map<MeshDialect, RelayMesh> meshes;
   private static final List<Call> CALLS = List.of(Call.values());
   private static final List<Place> PLACES = List.of(Place.values());
 
@@ -81,9 +80,7 @@
               + "\r\n"
               + (call.hasResponseBody() ? body() : "");
       if (isInParts) {
-        for (byte each : bytes.getBytes(StandardCharsets.ISO_8859_1)) {
-          socket.getOutputStream().write(each);
-        }
+        SocketUpstream.writeInParts(socket, bytes);
       } else {
         SocketUpstream.write(socket, bytes);
       }
@@ -98,27 +95,17 @@
 
   @BeforeAll
   static void start() throws IOException {
-    for (MeshDialect dialect : MeshDialect.values()) {
-      MESHES.put(dialect, dialect.start());
-    }
+    meshes = RelayMesh.startInEachDialect();
   }
 
   @AfterAll
   static void stop() throws Exception {
-    for (RelayMesh mesh : MESHES.values()) {
-      mesh.close();
-    }
+    RelayMesh.closeAll(meshes.values());
   }
 
-  /** Member 0 is beside the upstream, member 1 needs two hops. */
   static Stream<Arguments> heads() {
-    return Stream.of(MeshDialect.values())
-        .flatMap(
-            dialect ->
-                Stream.of(0, 1)
-                    .flatMap(
-                        member ->
-                            MalformedHead.all().map(head -> Arguments.of(dialect, member, head))));
+    return RelayMesh.entries()
+        .flatMap(entry -> MalformedHead.all().map(head -> Arguments.of(entry, head)));
   }
 
   /** Returns answers in which every two of their properties meet in each combination. */
@@ -139,12 +126,11 @@
 
   @ParameterizedTest
   @MethodSource("heads")
-  void shouldReportUnknownWhenHeadIsMalformed(MeshDialect dialect, int member, MalformedHead head)
-      throws IOException {
-    RelayMesh mesh = MESHES.get(dialect);
+  void shouldReportUnknownWhenHeadIsMalformed(Entry entry, MalformedHead head) throws IOException {
+    RelayMesh mesh = meshes.get(entry.dialect());
     mesh.renewUpstream();
     List<String> wrong = new ArrayList<>();
-    try (WireCaller caller = mesh.connect(member)) {
+    try (WireCaller caller = mesh.connect(entry.member())) {
       for (Answer answer : answers(head)) {
         String result = result(mesh, caller, answer);
         if (!result.isEmpty()) {
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/RelayMesh.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/RelayMesh.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
@@ -91,6 +94,13 @@
     abstract RelayMesh start() throws IOException;
   }
 
+  /**
+   * A daemon of a mesh to which callers send calls.
+   *
+   * @param member 0 for the daemon beside the upstream, 1 for the one from which there are two hops
+   */
+  record Entry(MeshDialect dialect, int member) {}
+
   // -- construction
 
   private RelayMesh(
@@ -101,8 +111,23 @@
     this.entries = entries.clone();
   }
 
+  /** Starts a mesh in each dialect. */
+  static Map<MeshDialect, RelayMesh> startInEachDialect() throws IOException {
+    Map<MeshDialect, RelayMesh> meshes = new EnumMap<>(MeshDialect.class);
+    for (MeshDialect dialect : MeshDialect.values()) {
+      meshes.put(dialect, dialect.start());
+    }
+    return meshes;
+  }
+
   // -- queries
 
+  /** Returns the daemons of all meshes. */
+  static Stream<Entry> entries() {
+    return Stream.of(MeshDialect.values())
+        .flatMap(dialect -> Stream.of(0, 1).map(member -> new Entry(dialect, member)));
+  }
+
   SocketUpstream upstream() {
     return upstream;
   }
@@ -147,6 +172,13 @@
         && Optional.of("4").equals(message.header("Content-Length"));
   }
 
+  /** Closes meshes. */
+  static void closeAll(Collection<RelayMesh> meshes) throws Exception {
+    for (RelayMesh mesh : meshes) {
+      mesh.close();
+    }
+  }
+
   @Override
   public void close() throws Exception {
     mesh.close();
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/SocketUpstream.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/SocketUpstream.java
@@ -82,6 +82,13 @@
     socket.getOutputStream().flush();
   }
 
+  /** Writes text as bytes, each of them alone. */
+  static void writeInParts(Socket socket, String text) throws IOException {
+    for (byte each : text.getBytes(StandardCharsets.ISO_8859_1)) {
+      socket.getOutputStream().write(each);
+    }
+  }
+
   /** Resets a connection. */
   static void reset(Socket socket) throws IOException {
     socket.setSoLinger(true, 0);
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/UnusualAnswerTest.java
@@ -3,9 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -15,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.parsleycart.daemon.call.RelayMesh.Entry;
 import org.parsleycart.daemon.call.RelayMesh.MeshDialect;
 import org.parsleycart.daemon.call.WireCaller.Call;
 
@@ -25,7 +23,7 @@
 class UnusualAnswerTest {
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n";
   private static final String BODY = "0123456789abcdef";
-  private static final Map<MeshDialect, RelayMesh> MESHES = new EnumMap<>(MeshDialect.class);
+  private static Map<MeshDialect, RelayMesh> meshes;
 
   /** Answers with the status 200 and the body; {@code %s} is replaced by the echo. */
   enum Unusual {
@@ -110,69 +108,54 @@
 
   @BeforeAll
   static void start() throws IOException {
-    for (MeshDialect dialect : MeshDialect.values()) {
-      MESHES.put(dialect, dialect.start());
-    }
+    meshes = RelayMesh.startInEachDialect();
   }
 
   @AfterAll
   static void stop() throws Exception {
-    for (RelayMesh mesh : MESHES.values()) {
-      mesh.close();
-    }
+    RelayMesh.closeAll(meshes.values());
   }
 
-  private static Stream<Arguments> withMeshes(Stream<? extends Enum<?>> answers) {
+  private static Stream<Arguments> atEachEntry(Stream<? extends Enum<?>> answers) {
     return answers.flatMap(
         answer ->
-            Stream.of(MeshDialect.values())
+            RelayMesh.entries()
                 .flatMap(
-                    dialect ->
-                        Stream.of(0, 1)
-                            .flatMap(
-                                member ->
-                                    Stream.of(true, false)
-                                        .map(
-                                            isInParts ->
-                                                Arguments.of(
-                                                    answer, dialect, member, isInParts)))));
+                    entry ->
+                        Stream.of(true, false)
+                            .map(isInParts -> Arguments.of(answer, entry, isInParts))));
   }
 
   static Stream<Arguments> unusualAnswers() {
-    return withMeshes(Stream.of(Unusual.values()));
+    return atEachEntry(Stream.of(Unusual.values()));
   }
 
   static Stream<Arguments> bodilessAnswers() {
-    return withMeshes(Stream.of(Bodiless.values()));
+    return atEachEntry(Stream.of(Bodiless.values()));
   }
 
   /** Writes an answer whose connection is kept. */
   private static SocketUpstream.Script script(String format, boolean isInParts) {
     return (request, socket) -> {
-      write(socket, String.format(format, RelayMesh.echo(request)), isInParts);
+      String bytes = String.format(format, RelayMesh.echo(request));
+      if (isInParts) {
+        SocketUpstream.writeInParts(socket, bytes);
+      } else {
+        SocketUpstream.write(socket, bytes);
+      }
       return true;
     };
   }
 
-  private static void write(Socket socket, String bytes, boolean isInParts) throws IOException {
-    if (isInParts) {
-      for (byte each : bytes.getBytes(StandardCharsets.ISO_8859_1)) {
-        socket.getOutputStream().write(each);
-      }
-    } else {
-      SocketUpstream.write(socket, bytes);
-    }
-  }
-
   @ParameterizedTest
   @MethodSource("unusualAnswers")
-  void shouldDeliverAnswerWhenHeadIsUnusualAndProper(
-      Unusual answer, MeshDialect dialect, int member, boolean isInParts) throws IOException {
-    RelayMesh mesh = MESHES.get(dialect);
+  void shouldDeliverAnswerWhenHeadIsUnusualAndProper(Unusual answer, Entry entry, boolean isInParts)
+      throws IOException {
+    RelayMesh mesh = meshes.get(entry.dialect());
     mesh.renewUpstream();
     mesh.upstream().setScript(script(answer.format, isInParts));
 
-    try (WireCaller caller = mesh.connect(member)) {
+    try (WireCaller caller = mesh.connect(entry.member())) {
       for (Call call : new Call[] {Call.READ, Call.WRITE}) {
         WireMessage response = caller.send(call);
 
@@ -185,13 +168,13 @@
 
   @ParameterizedTest
   @MethodSource("bodilessAnswers")
-  void shouldDeliverAnswerWhenItHasNoBody(
-      Bodiless answer, MeshDialect dialect, int member, boolean isInParts) throws IOException {
-    RelayMesh mesh = MESHES.get(dialect);
+  void shouldDeliverAnswerWhenItHasNoBody(Bodiless answer, Entry entry, boolean isInParts)
+      throws IOException {
+    RelayMesh mesh = meshes.get(entry.dialect());
     mesh.renewUpstream();
     mesh.upstream().setScript(script(answer.format, isInParts));
 
-    try (WireCaller caller = mesh.connect(member)) {
+    try (WireCaller caller = mesh.connect(entry.member())) {
       WireMessage response = caller.send(answer.call);
       mesh.upstream().setScript(RelayMesh::answerSoundly);
 
@@ -206,7 +189,7 @@
   @ParameterizedTest
   @MethodSource("members")
   void shouldDeliverAnswerThatEndsWithItsConnection(int member) throws IOException {
-    RelayMesh mesh = MESHES.get(MeshDialect.PLATFORM);
+    RelayMesh mesh = meshes.get(MeshDialect.PLATFORM);
     mesh.renewUpstream();
     mesh.upstream()
         .setScript(
@@ -232,7 +215,7 @@
   @ParameterizedTest
   @MethodSource("members")
   void shouldPassOnOneLengthWhenTwoAreEqual(int member) throws IOException {
-    RelayMesh mesh = MESHES.get(MeshDialect.PARSLEYCART);
+    RelayMesh mesh = meshes.get(MeshDialect.PARSLEYCART);
     mesh.upstream().setScript(script(Unusual.EQUAL_LENGTHS.format, false));
 
     try (WireCaller caller = mesh.connect(member)) {
@@ -248,7 +231,7 @@
   @ParameterizedTest
   @MethodSource("members")
   void shouldReportNotRunWhenARefusalHasABody(int member) throws IOException {
-    RelayMesh mesh = MESHES.get(MeshDialect.PLATFORM);
+    RelayMesh mesh = meshes.get(MeshDialect.PLATFORM);
     mesh.renewUpstream();
     mesh.upstream()
         .setScript(
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/ChunkedBodyReader.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/ChunkedBodyReader.java
@@ -92,6 +92,7 @@
       }
     };
 
+    /** Reads a byte; returns the state of the next one. */
     abstract State next(ChunkedBodyReader body, int octet) throws MalformedResponseException;
 
     private static State require(int required, int octet, String place, State following)
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/ResponseReader.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/ResponseReader.java
@@ -5,15 +5,17 @@
 
 /**
  * Reads the responses on a client connection as RFC 9112 defines them, and rejects what is none.
- * Each byte outside the data of a body is looked at once; data is skipped. The parsers of the HTTP
- * client accept more, and what they make of it differs from what the server meant.
+ * What is not data of a body is read in one pass; data is skipped. The parsers of the HTTP client
+ * accept more, and what they make of it differs from what the server meant.
  *
  * <p>The client takes informational responses other than 100 for final ones. In the buffer their
  * status becomes 100, so that the client skips them (RFC 9110, section 15.2).
  */
 final class ResponseReader {
-  private static final int MINIMUM_FINAL_STATUS = 200;
+  /** The only informational status after which no further response follows. */
   static final int SWITCHING_PROTOCOLS = 101;
+
+  private static final int MINIMUM_FINAL_STATUS = 200;
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
 
--- a/parsleycart-link/src/main/java/org/parsleycart/link/http/StatusLineReader.java
+++ b/parsleycart-link/src/main/java/org/parsleycart/link/http/StatusLineReader.java
@@ -95,6 +95,7 @@
       }
     };
 
+    /** Reads a byte; returns the state of the next one. */
     abstract State next(StatusLineReader line, int octet) throws MalformedResponseException;
 
     private static MalformedResponseException unexpected(int octet) {
