--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedChunksTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedChunksTest.java
@@ -4,10 +4,10 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -84,7 +84,7 @@
     mesh.renewUpstream();
     for (boolean isInParts : new boolean[] {false, true}) {
       for (Call call : new Call[] {Call.READ, Call.WRITE}) {
-        List<Socket> used = new ArrayList<>();
+        List<Socket> used = new CopyOnWriteArrayList<>();
         mesh.upstream()
             .setScript(
                 (request, socket) -> {
--- a/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedHeadTest.java
+++ b/parsleycart-daemon/src/test/java/org/parsleycart/daemon/call/MalformedHeadTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
@@ -24,7 +25,6 @@
  * that is no field passed on or with a body that is not the one of the upstream.
  */
 class MalformedHeadTest {
-  private static Map<MeshDialect, RelayMesh> meshes;
   private static final List<Call> CALLS = List.of(Call.values());
   private static final List<Place> PLACES = List.of(Place.values());
 
@@ -34,6 +34,8 @@
 
   private static final List<String> STATUSES = List.of("200 OK", "500 Trouble", REFUSAL);
 
+  private static Map<MeshDialect, RelayMesh> meshes;
+
   /** Where the malformed lines stand in a head whose other lines are in order. */
   enum Place {
     FIRST {
@@ -145,7 +147,7 @@
   /** Returns what was wrong with a call, empty if nothing. */
   private static String result(RelayMesh mesh, WireCaller caller, Answer answer)
       throws IOException {
-    List<Socket> used = new ArrayList<>();
+    List<Socket> used = new CopyOnWriteArrayList<>();
     mesh.upstream()
         .setScript(
             (request, socket) -> {
